--- /dev/null
+++ b/fakes/exec.go
@@ -0,0 +1,248 @@
+package fakes
+
+import (
+	"strings"
+	"time"
+
+	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/pgwire"
+	"github.com/pollendoor/pollendoor/route"
+)
+
+var errCanceled = &pgwire.ServerError{Code: pollendoor.CodeDeadline, Message: "canceling statement due to user request"}
+
+// exec runs one statement in a slot of the target.
+func (s *session) exec(st statement) (*result, error) {
+	c, err := route.Classify(st.SQL)
+	if err != nil {
+		return nil, err
+	}
+	if s.failed && c.Kind != route.Rollback && c.Kind != route.Commit {
+		return nil, &pgwire.ServerError{Code: pollendoor.CodeFailedTx, Message: "current transaction is aborted"}
+	}
+	switch c.Kind {
+	case route.Begin:
+		s.inTx, s.readOnly = true, c.ReadOnly
+		return &result{tag: "BEGIN"}, nil
+	case route.Commit:
+		return s.commit()
+	case route.Rollback:
+		s.rollback()
+		return &result{tag: "ROLLBACK"}, nil
+	case route.Set:
+		return &result{tag: "SET"}, nil
+	case route.Empty:
+		return &result{}, nil
+	}
+	if c.Kind == route.Write && c.Verb != "SET" {
+		// Waiting for another transaction takes no slot, or its holder could
+		// wait for a slot in turn.
+		if err := s.begin(); err != nil {
+			return nil, err
+		}
+	}
+	if err := s.slot(); err != nil {
+		return nil, err
+	}
+	defer s.release()
+	if c.Kind == route.Read {
+		return s.read(st)
+	}
+	return s.write(st, c)
+}
+
+// slot waits for one of the target's slots and spends the service time there.
+func (s *session) slot() error {
+	select {
+	case <-s.cancel: // of an earlier statement
+	default:
+	}
+	if s.target.slots != nil {
+		select {
+		case s.target.slots <- struct{}{}:
+		case <-s.cancel:
+			return errCanceled
+		}
+	}
+	if d := s.target.opt.Service; d > 0 {
+		if err := s.pause(d); err != nil {
+			s.release()
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *session) pause(d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-s.cancel:
+		return errCanceled
+	}
+}
+
+func (s *session) release() {
+	if s.target.slots != nil {
+		<-s.target.slots
+	}
+}
+
+func (s *session) read(st statement) (*result, error) {
+	if d, ok := sleepOf(st); ok {
+		if err := s.pause(d); err != nil {
+			return nil, err
+		}
+		return &result{columns: []column{{name: "pg_sleep", oid: 25}}, rows: [][]any{{""}}, tag: "SELECT 1"}, nil
+	}
+	return s.target.reads(s.holds).run(st)
+}
+
+// sleepOf recognizes SELECT pg_sleep(SECONDS).
+func sleepOf(st statement) (time.Duration, bool) {
+	text := strings.ToLower(strings.TrimSpace(st.SQL))
+	arg, ok := strings.CutPrefix(text, "select pg_sleep(")
+	if !ok {
+		return 0, false
+	}
+	n, _, _ := strings.Cut(arg, ")")
+	d, err := time.ParseDuration(n + "s")
+	return d, err == nil
+}
+
+// reads returns the engine that reads go to: the writer's for the session that
+// holds it, else that of the committed data.
+func (t *Target) reads(writer bool) *engine {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if writer {
+		return t.work
+	}
+	return t.front
+}
+
+func (s *session) write(st statement, c route.Statement) (*result, error) {
+	if c.Verb == "SET" {
+		return &result{tag: "SET"}, nil
+	}
+	t := s.target
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err := t.writable(s.epoch); err != nil {
+		return nil, err
+	}
+	res, err := t.work.run(st)
+	if err != nil {
+		return nil, err
+	}
+	s.writes = append(s.writes, st)
+	return res, nil
+}
+
+// begin takes the target's writer and opens the transaction there.
+func (s *session) begin() error {
+	if s.readOnly {
+		return errReadOnly
+	}
+	if s.holds {
+		return nil
+	}
+	t := s.target
+	t.mu.Lock()
+	err := t.writable(t.epoch.Load())
+	t.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	select {
+	case t.writer <- struct{}{}:
+	case <-s.cancel:
+		return errCanceled
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s.epoch = t.epoch.Load()
+	if err := t.writable(s.epoch); err != nil {
+		<-t.writer
+		return err
+	}
+	if _, err := t.work.run(statement{SQL: "BEGIN"}); err != nil {
+		<-t.writer
+		return err
+	}
+	s.holds = true
+	return nil
+}
+
+func (s *session) commit() (*result, error) {
+	if s.failed {
+		s.rollback()
+		return &result{tag: "ROLLBACK"}, nil
+	}
+	err := s.commitWrites()
+	s.inTx, s.readOnly = false, false
+	if err != nil {
+		return nil, err
+	}
+	return &result{tag: "COMMIT"}, nil
+}
+
+// commitWrites commits what the writer holds, if this session has it.
+func (s *session) commitWrites() error {
+	if !s.holds {
+		return nil
+	}
+	if len(s.writes) == 0 {
+		s.giveBack()
+		return nil
+	}
+	p, err := s.target.commit(s.writes, s.epoch)
+	if err != nil {
+		s.giveBack()
+		return err
+	}
+	s.written = p
+	s.holds, s.writes = false, nil
+	<-s.target.writer
+	return nil
+}
+
+// endImplicit commits a batch that ran outside of a transaction block.
+func (s *session) endImplicit() {
+	if s.inTx || !s.holds {
+		return
+	}
+	if err := s.commitWrites(); err != nil {
+		s.sendError(err)
+	}
+}
+
+// endDescribe gives the writer back if only a description took it.
+func (s *session) endDescribe() {
+	if len(s.writes) == 0 {
+		s.giveBack()
+	}
+}
+
+func (s *session) rollback() {
+	s.giveBack()
+	s.inTx, s.failed, s.readOnly = false, false, false
+}
+
+// giveBack undoes the open write transaction, unless a change of role has done
+// so already.
+func (s *session) giveBack() {
+	if !s.holds {
+		return
+	}
+	t := s.target
+	t.mu.Lock()
+	if s.epoch == t.epoch.Load() {
+		t.work.run(statement{SQL: "ROLLBACK"})
+	}
+	t.mu.Unlock()
+	s.holds, s.writes = false, nil
+	<-t.writer
+}
--- /dev/null
+++ b/fakes/platform.go
@@ -0,0 +1,295 @@
+package fakes
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pollendoor/pollendoor"
+)
+
+// maxObject is the largest value of an object, in bytes.
+const maxObject = 1 << 20
+
+// watchHold is the longest time a watch is held open.
+const watchHold = 5 * time.Second
+
+// Platform is a stand-in of the platform's object API over HTTP: objects with
+// versions, conditional updates and watches, a list of VMs, and counters of the
+// calls. Its switches make it fail in the ways the real one does.
+type Platform struct {
+	mu       sync.Mutex
+	objects  map[string]pollendoor.Object
+	revision uint64
+	revs     map[string]uint64 // revision of each object's last change
+	changed  chan struct{}
+	vms      []pollendoor.VM
+	counts   map[string]int
+	down     bool
+	delay    time.Duration
+	lose     int // answers of puts to be lost after the effect
+	loseAll  bool
+	cut      map[string]bool // VMs that can't reach the platform
+	server   *http.Server
+	listener net.Listener
+	served   chan struct{}
+}
+
+// Start listens on addr, or on a free loopback port if addr is empty.
+func (p *Platform) Start(addr string) error {
+	if addr == "" {
+		addr = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errors.Wrap(err, "platform")
+	}
+	p.objects = make(map[string]pollendoor.Object)
+	p.revs = make(map[string]uint64)
+	p.counts = make(map[string]int)
+	p.cut = make(map[string]bool)
+	p.changed = make(chan struct{})
+	p.listener = l
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /objects/{name...}", p.get)
+	mux.HandleFunc("PUT /objects/{name...}", p.put)
+	mux.HandleFunc("GET /objects", p.list)
+	mux.HandleFunc("GET /vms", p.listVMs)
+	p.server = &http.Server{Handler: p.faults(mux), ReadHeaderTimeout: 5 * time.Second}
+	p.served = make(chan struct{})
+	go func() {
+		defer close(p.served)
+		p.server.Serve(l)
+	}()
+	return nil
+}
+
+// Addr returns the base URL.
+func (p *Platform) Addr() string { return "http://" + p.listener.Addr().String() }
+
+// Stop ends the platform.
+func (p *Platform) Stop() {
+	p.server.Close()
+	<-p.served
+}
+
+// SetDown makes every call fail, watches included, until it is set back.
+func (p *Platform) SetDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+	p.wake()
+}
+
+// SetDelay makes every call take at least d.
+func (p *Platform) SetDelay(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = d
+}
+
+// LoseAnswers makes the next n puts take effect and then break off.
+func (p *Platform) LoseAnswers(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lose = n
+}
+
+// LoseEveryOther makes every second put take effect and then break off.
+func (p *Platform) LoseEveryOther(on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.loseAll = on
+}
+
+// Cut keeps the VM called name from the platform, or lets it back.
+func (p *Platform) Cut(name string, cut bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut[name] = cut
+	p.wake()
+}
+
+// SetVMs sets the list of live and leaving VMs.
+func (p *Platform) SetVMs(list []pollendoor.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.vms = list
+}
+
+// Calls returns how often each kind of call was made.
+func (p *Platform) Calls() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := make(map[string]int, len(p.counts))
+	for k, n := range p.counts {
+		c[k] = n
+	}
+	return c
+}
+
+// wake ends the waits of watches. The caller holds mu.
+func (p *Platform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *Platform) unreachable(vm string) bool { return p.down || p.cut[vm] }
+
+// faults counts the calls and applies the switches to them.
+func (p *Platform) faults(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		kind := r.Method
+		if r.URL.Query().Has("after") {
+			kind = "WATCH"
+		}
+		p.counts[kind]++
+		fails, delay := p.unreachable(r.Header.Get("Pollendoor-Vm")), p.delay
+		p.mu.Unlock()
+		if delay > 0 {
+			time.Sleep(delay)
+		}
+		if fails {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func etag(version uint64) string { return `"` + strconv.FormatUint(version, 10) + `"` }
+
+func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	o, ok := p.objects[r.PathValue("name")]
+	p.mu.Unlock()
+	if !ok {
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("ETag", etag(o.Version))
+	w.Write(o.Value)
+}
+
+func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObject))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	name := r.PathValue("name")
+	p.mu.Lock()
+	old := p.objects[name]
+	want := r.Header.Get("If-Match")
+	if r.Header.Get("If-None-Match") == "*" {
+		want = etag(0)
+	}
+	if want != etag(old.Version) {
+		p.mu.Unlock()
+		http.Error(w, "version conflict", http.StatusPreconditionFailed)
+		return
+	}
+	p.revision++
+	o := pollendoor.Object{Name: name, Version: old.Version + 1, Value: value}
+	p.objects[name] = o
+	p.revs[name] = p.revision
+	p.wake()
+	lost := p.loseNext()
+	p.mu.Unlock()
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("ETag", etag(o.Version))
+}
+
+// loseNext reports whether this answer is to be lost. The caller holds mu.
+func (p *Platform) loseNext() bool {
+	if p.loseAll {
+		p.lose = 1 - p.lose
+		return p.lose == 1
+	}
+	if p.lose > 0 {
+		p.lose--
+		return true
+	}
+	return false
+}
+
+// listing is the answer of lists and watches.
+type listing struct {
+	Revision uint64              `json:"revision"`
+	Objects  []pollendoor.Object `json:"objects"`
+}
+
+func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	prefix := q.Get("prefix")
+	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
+	var l listing
+	if q.Has("after") {
+		ok := false
+		if l, ok = p.wait(r.Context(), r.Header.Get("Pollendoor-Vm"), prefix, after); !ok {
+			panic(http.ErrAbortHandler)
+		}
+	} else {
+		p.mu.Lock()
+		l = p.since(prefix, 0)
+		p.mu.Unlock()
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(l)
+}
+
+// wait holds a watch until something changes. It fails when the VM is cut off
+// meanwhile.
+func (p *Platform) wait(ctx context.Context, vm, prefix string, after uint64) (listing, bool) {
+	timeout := time.After(watchHold)
+	for {
+		p.mu.Lock()
+		l := p.since(prefix, after)
+		changed, gone := p.changed, p.unreachable(vm)
+		p.mu.Unlock()
+		if gone {
+			return l, false
+		}
+		if len(l.Objects) > 0 {
+			return l, true
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return l, true
+		case <-ctx.Done():
+			return l, false
+		}
+	}
+}
+
+// since returns the objects below prefix that changed after a revision. The
+// caller holds mu.
+func (p *Platform) since(prefix string, after uint64) listing {
+	l := listing{Revision: p.revision}
+	for name, o := range p.objects {
+		if strings.HasPrefix(name, prefix) && p.revs[name] > after {
+			l.Objects = append(l.Objects, o)
+		}
+	}
+	sort.Slice(l.Objects, func(i, j int) bool { return l.Objects[i].Name < l.Objects[j].Name })
+	return l
+}
+
+func (p *Platform) listVMs(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(p.vms)
+}
--- /dev/null
+++ b/fakes/ship.go
@@ -0,0 +1,166 @@
+package fakes
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/pgwire"
+)
+
+const (
+	shipBatch = 500                   // entries
+	shipPoll  = 50 * time.Millisecond // longest wait for an entry
+	shipRetry = 20 * time.Millisecond
+)
+
+// replicate pulls entries from the primary while the target is a replica.
+func (t *Target) replicate(ctx context.Context) {
+	var conn *pgwire.Conn
+	defer func() {
+		if conn != nil {
+			conn.Close()
+		}
+	}()
+	for ctx.Err() == nil {
+		t.mu.Lock()
+		role, term, source, index, changed := t.role, t.term, t.source, uint64(len(t.log)), t.changed
+		t.mu.Unlock()
+		if role != pollendoor.Replica || source == "" || t.frozen.Load() {
+			sleep(ctx, shipRetry, changed)
+			continue
+		}
+		if conn != nil && conn.Addr != source {
+			conn.Close()
+			conn = nil
+		}
+		next, err := t.pull(ctx, conn, source, term, index)
+		conn = next
+		if err != nil {
+			conn = nil
+			sleep(ctx, shipRetry, nil)
+		}
+	}
+}
+
+// pull asks once for the entries behind index.
+func (t *Target) pull(ctx context.Context, conn *pgwire.Conn, source string, term pollendoor.Term, index uint64) (*pgwire.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if conn == nil {
+		c, err := pgwire.Dial(ctx, pgwire.Login{Addr: source, User: t.opt.User, Password: t.opt.Password, App: pgwire.ControlApp})
+		if err != nil {
+			return nil, err
+		}
+		conn = c
+	}
+	asked := time.Now()
+	rows, err := conn.Simple(ctx, fmt.Sprintf("REPLICATE %d %d", term, index))
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	if t.opt.ShipDelay > 0 && len(rows) > 1 {
+		time.Sleep(t.opt.ShipDelay)
+	}
+	return conn, t.receive(rows, term, index, asked)
+}
+
+// receive appends shipped entries, unless the target has moved on meanwhile.
+func (t *Target) receive(rows [][]string, term pollendoor.Term, index uint64, asked time.Time) error {
+	if len(rows) == 0 {
+		return errors.New("replication answer is empty")
+	}
+	primary, err := strconv.ParseUint(rows[0][0], 10, 64)
+	if err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.term != term || t.fenced > term || t.role != pollendoor.Replica || uint64(len(t.log)) != index || t.frozen.Load() {
+		return nil
+	}
+	for _, r := range rows[1:] {
+		var e entry
+		if err := decodeEntry(r[0], &e); err != nil {
+			return err
+		}
+		if e.Index != uint64(len(t.log))+1 {
+			return errors.Newf("entry %d shipped after %d", e.Index, len(t.log))
+		}
+		t.log = append(t.log, e)
+	}
+	if uint64(len(t.log)) >= primary {
+		t.levelAt = asked
+	}
+	if len(rows) > 1 {
+		t.bump()
+	}
+	return nil
+}
+
+// ship answers a replica's request for the entries of term behind index.
+func (t *Target) ship(ctx context.Context, term pollendoor.Term, index uint64) ([][]string, error) {
+	timeout := time.After(shipPoll)
+	for {
+		t.mu.Lock()
+		if t.role != pollendoor.Primary || t.term != term || t.fenced > term {
+			t.mu.Unlock()
+			return nil, errFenced
+		}
+		last := uint64(len(t.log))
+		batch := t.log[min(index, last):min(index+shipBatch, last)]
+		changed := t.changed
+		t.mu.Unlock()
+		if len(batch) > 0 {
+			return encodeBatch(last, batch)
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return encodeBatch(last, nil)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// shipMode keeps the full precision of times.
+var shipMode = func() cbor.EncMode {
+	m, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "encoding options of shipped entries"))
+	}
+	return m
+}()
+
+func encodeBatch(last uint64, batch []entry) ([][]string, error) {
+	rows := [][]string{{strconv.FormatUint(last, 10)}}
+	for _, e := range batch {
+		raw, err := shipMode.Marshal(e)
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, []string{string(raw)})
+	}
+	return rows, nil
+}
+
+func decodeEntry(text string, e *entry) error {
+	if err := cbor.Unmarshal([]byte(text), e); err != nil {
+		return errors.Wrap(err, "shipped entry")
+	}
+	for _, s := range e.Stmts {
+		for i, a := range s.Args {
+			if n, ok := a.(uint64); ok {
+				s.Args[i] = int64(n)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/fakes/target.go
@@ -0,0 +1,390 @@
+package fakes
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/pollendoor/pollendoor"
+)
+
+// TargetOptions says how a stand-in target behaves. The zero value is a target
+// without limits or delays.
+type TargetOptions struct {
+	Name     string
+	Zone     string
+	Addr     string // listen address; empty for a free loopback port
+	User     string // the system's credentials
+	Password string
+
+	Slots       int           // statements executing at a time; zero for no limit
+	Connections int           // connections besides control; zero for no limit
+	Connect     time.Duration // time a new connection takes
+	Service     time.Duration // time a statement takes in its slot
+	ShipDelay   time.Duration // from commit to a replica's receipt
+	Lag         time.Duration // from commit to a replica's reads
+	Log         zerolog.Logger
+}
+
+// entry is one committed write transaction.
+type entry struct {
+	Term  pollendoor.Term
+	Index uint64
+	At    time.Time
+	Stmts []statement
+}
+
+// Target is a stand-in member of a database group. Its log survives Kill and
+// Start, as on a disk.
+type Target struct {
+	opt   TargetOptions
+	addr  string
+	slots chan struct{}
+
+	lag    atomic.Int64 // ns, settable while running
+	frozen atomic.Bool  // answers nothing, as a stopped process
+	conns  atomic.Int64
+
+	writer chan struct{} // holds one value while a write transaction is open
+	epoch  atomic.Int64  // grows when open transactions lose their ground
+
+	mu       sync.Mutex // guards what follows, and the order of commits
+	changed  chan struct{}
+	role     pollendoor.Role
+	term     pollendoor.Term
+	fenced   pollendoor.Term
+	source   string // address of the primary followed
+	log      []entry
+	applied  uint64
+	levelAt  time.Time // when the log was level with the primary's
+	front    *engine   // committed data
+	work     *engine   // data of the open write transaction
+	listener net.Listener
+	live     map[net.Conn]*session
+	sessions map[uint32]*session
+	stop     context.CancelFunc
+	wg       *conc.WaitGroup
+}
+
+// NewTarget returns a target that is not started yet: a replica of no primary.
+func NewTarget(opt TargetOptions) (*Target, error) {
+	t := &Target{
+		opt:     opt,
+		writer:  make(chan struct{}, 1),
+		changed: make(chan struct{}),
+		role:    pollendoor.Replica,
+	}
+	if opt.Slots > 0 {
+		t.slots = make(chan struct{}, opt.Slots)
+	}
+	t.lag.Store(int64(opt.Lag))
+	var err error
+	if t.front, err = newEngine(); err != nil {
+		return nil, err
+	}
+	t.work, err = newEngine()
+	return t, err
+}
+
+// Addr returns the listen address, once started.
+func (t *Target) Addr() string { return t.addr }
+
+// Name returns the target's name.
+func (t *Target) Name() string { return t.opt.Name }
+
+// Zone returns the target's availability zone.
+func (t *Target) Zone() string { return t.opt.Zone }
+
+// SetLag sets the time from a commit to a replica's reads.
+func (t *Target) SetLag(d time.Duration) { t.lag.Store(int64(d)) }
+
+// Connections returns how many connections are open besides control.
+func (t *Target) Connections() int { return int(t.conns.Load()) }
+
+// Freeze makes the target take connections and bytes but answer nothing, as a
+// stopped process does, until Thaw.
+func (t *Target) Freeze() { t.frozen.Store(true) }
+
+// Thaw ends Freeze.
+func (t *Target) Thaw() { t.frozen.Store(false) }
+
+// Start listens and serves until Kill.
+func (t *Target) Start() error {
+	addr := t.opt.Addr
+	if t.addr != "" {
+		addr = t.addr
+	}
+	if addr == "" {
+		addr = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return errors.Wrapf(err, "target %s", t.opt.Name)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.mu.Lock()
+	t.addr = l.Addr().String()
+	t.listener = l
+	t.live = make(map[net.Conn]*session)
+	t.sessions = make(map[uint32]*session)
+	t.stop = cancel
+	t.wg = conc.NewWaitGroup()
+	wg := t.wg
+	t.mu.Unlock()
+	wg.Go(func() { t.accept(l, wg) })
+	wg.Go(func() { t.replicate(ctx) })
+	wg.Go(func() { t.applyLoop(ctx) })
+	return nil
+}
+
+// Kill closes the listener and all connections at once. Open transactions are
+// rolled back; the log stays.
+func (t *Target) Kill() {
+	t.mu.Lock()
+	if t.listener == nil {
+		t.mu.Unlock()
+		return
+	}
+	t.listener.Close()
+	t.listener = nil
+	for c := range t.live {
+		c.Close()
+	}
+	t.stop()
+	wg := t.wg
+	t.epoch.Add(1)
+	t.bump()
+	t.mu.Unlock()
+	wg.Wait()
+}
+
+// CloseClients closes every connection but the listener, as a network cut does.
+func (t *Target) CloseClients() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.live {
+		c.Close()
+	}
+}
+
+// bump wakes all who wait for a change. The caller holds mu.
+func (t *Target) bump() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// Status returns the target's view of itself.
+func (t *Target) Status() pollendoor.TargetStatus {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.status()
+}
+
+func (t *Target) status() pollendoor.TargetStatus {
+	s := pollendoor.TargetStatus{
+		Name:    t.opt.Name,
+		Role:    t.role,
+		Term:    t.term,
+		Index:   uint64(len(t.log)),
+		Applied: t.applied,
+		Fenced:  t.fenced,
+	}
+	if t.role == pollendoor.Replica {
+		level := t.levelAt
+		if t.applied < uint64(len(t.log)) {
+			level = t.log[t.applied].At
+		}
+		s.AgeMS = time.Since(level).Milliseconds()
+	}
+	return s
+}
+
+// Fence refuses smaller terms from now on.
+func (t *Target) Fence(term pollendoor.Term) pollendoor.TargetStatus {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if term > t.fenced {
+		t.fenced = term
+		t.bump()
+	}
+	return t.status()
+}
+
+// Promote makes the target the primary of term, with all its log applied.
+func (t *Target) Promote(term pollendoor.Term) (pollendoor.TargetStatus, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if term < t.fenced {
+		return t.status(), errors.Newf("term %d is fenced off, the least is %d", term, t.fenced)
+	}
+	if t.role == pollendoor.Primary && t.term == term {
+		return t.status(), nil
+	}
+	if err := t.applyTo(uint64(len(t.log))); err != nil {
+		return t.status(), err
+	}
+	t.role, t.term, t.fenced = pollendoor.Primary, term, term
+	t.epoch.Add(1)
+	t.bump()
+	return t.status(), nil
+}
+
+// Follow makes the target a replica of the primary at addr and drops the
+// entries behind the index after if it comes from an older term.
+func (t *Target) Follow(term pollendoor.Term, addr string, after uint64) (pollendoor.TargetStatus, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if term < t.fenced || term < t.term {
+		return t.status(), errors.Newf("term %d is fenced off, the least is %d", term, max(t.fenced, t.term))
+	}
+	if t.role == pollendoor.Primary && t.term == term {
+		return t.status(), errors.Newf("target leads term %d", term)
+	}
+	if t.role == pollendoor.Primary {
+		t.demote()
+	}
+	if term > t.term && after < uint64(len(t.log)) {
+		if err := t.truncate(after); err != nil {
+			return t.status(), err
+		}
+	}
+	t.role, t.term, t.source = pollendoor.Replica, term, addr
+	t.fenced = max(t.fenced, term)
+	t.bump()
+	return t.status(), nil
+}
+
+// demote undoes the open write transaction and closes the callers' connections.
+// The caller holds mu.
+func (t *Target) demote() {
+	t.epoch.Add(1)
+	t.work.run(statement{SQL: "ROLLBACK"}) // fails if none is open
+	for c, s := range t.live {
+		if s != nil && !s.control {
+			c.Close()
+		}
+	}
+}
+
+// truncate drops the entries behind the index and rebuilds the data.
+func (t *Target) truncate(after uint64) error {
+	t.log = t.log[:after:after]
+	if t.applied <= after {
+		return nil
+	}
+	front, err := newEngine()
+	if err != nil {
+		return err
+	}
+	work, err := newEngine()
+	if err != nil {
+		return err
+	}
+	t.front.close()
+	t.work.close()
+	t.front, t.work, t.applied = front, work, 0
+	t.epoch.Add(1)
+	return t.applyTo(after)
+}
+
+// applyTo makes the entries up to the index visible. The caller holds mu.
+func (t *Target) applyTo(index uint64) error {
+	for t.applied < index {
+		e := t.log[t.applied]
+		for _, eng := range []*engine{t.front, t.work} {
+			if err := applyEntry(eng, e); err != nil {
+				return errors.Wrapf(err, "target %s, entry %d", t.opt.Name, e.Index)
+			}
+		}
+		t.applied++
+	}
+	return nil
+}
+
+func applyEntry(e *engine, en entry) error {
+	if len(en.Stmts) == 0 {
+		return nil
+	}
+	if _, err := e.run(statement{SQL: "BEGIN"}); err != nil {
+		return err
+	}
+	for _, s := range en.Stmts {
+		if _, err := e.run(s); err != nil {
+			e.run(statement{SQL: "ROLLBACK"})
+			return err
+		}
+	}
+	_, err := e.run(statement{SQL: "COMMIT"})
+	return err
+}
+
+// applyLoop makes received entries visible once they are as old as the lag.
+func (t *Target) applyLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		t.mu.Lock()
+		wait := time.Hour
+		if t.role == pollendoor.Replica && t.applied < uint64(len(t.log)) && !t.frozen.Load() {
+			wait = time.Until(t.log[t.applied].At.Add(time.Duration(t.lag.Load())))
+			if wait <= 0 {
+				if err := t.applyTo(t.applied + 1); err != nil {
+					t.opt.Log.Error().Err(err).Msg("replica can't apply")
+				}
+				t.mu.Unlock()
+				continue
+			}
+		}
+		changed := t.changed
+		t.mu.Unlock()
+		sleep(ctx, min(wait, 20*time.Millisecond), changed)
+	}
+}
+
+// sleep waits for d, for the end of ctx or for wake.
+func sleep(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-wake:
+	case <-timer.C:
+	}
+}
+
+// commit makes the statements of the open write transaction an entry of the
+// log. It fails, with nothing kept, if the target is not the unfenced primary or
+// the transaction began before its last change of role.
+func (t *Target) commit(stmts []statement, epoch int64) (pollendoor.Position, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if err := t.writable(epoch); err != nil {
+		return pollendoor.Position{}, err
+	}
+	if _, err := t.work.run(statement{SQL: "COMMIT"}); err != nil {
+		return pollendoor.Position{}, err
+	}
+	e := entry{Term: t.term, Index: uint64(len(t.log)) + 1, At: time.Now(), Stmts: stmts}
+	if err := applyEntry(t.front, e); err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "a committed transaction did not apply again"))
+	}
+	t.log = append(t.log, e)
+	t.applied = e.Index
+	t.bump()
+	return pollendoor.Position{Term: e.Term, Index: e.Index}, nil
+}
+
+// writable tells why a write can't run. The caller holds mu.
+func (t *Target) writable(epoch int64) error {
+	if t.role != pollendoor.Primary {
+		return errReadOnly
+	}
+	if t.fenced > t.term || epoch != t.epoch.Load() {
+		return errFenced
+	}
+	return nil
+}
--- /dev/null
+++ b/fakes/wire.go
@@ -0,0 +1,499 @@
+package fakes
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/sourcegraph/conc"
+
+	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/pgwire"
+	"github.com/pollendoor/pollendoor/route"
+)
+
+var (
+	errReadOnly = &pgwire.ServerError{Code: pollendoor.CodeReadOnly, Message: "cannot execute a write in a read-only transaction"}
+	errFenced   = &pgwire.ServerError{Code: pollendoor.CodeReadOnly, Message: "this term is fenced off"}
+)
+
+// prepared is one parsed statement of a session.
+type prepared struct {
+	sql    string
+	params []uint32
+}
+
+// portal is one bound statement of a session.
+type portal struct {
+	stmt    prepared
+	args    []any
+	formats []int16
+}
+
+// session is one connection to a target.
+type session struct {
+	target  *Target
+	net     net.Conn
+	back    *pgproto3.Backend
+	pid     uint32
+	secret  []byte
+	control bool
+	cancel  chan struct{}
+
+	stmts   map[string]prepared
+	portals map[string]portal
+
+	inTx     bool
+	failed   bool
+	readOnly bool
+	holds    bool  // has the target's writer
+	epoch    int64 // of the target when the writer was taken
+	writes   []statement
+	written  pollendoor.Position // of the last commit, to be reported
+	skip     bool                // an extended batch failed: wait for Sync
+}
+
+func (t *Target) accept(l net.Listener, wg *conc.WaitGroup) {
+	for {
+		n, err := l.Accept()
+		if err != nil {
+			return
+		}
+		t.mu.Lock()
+		if t.listener != l {
+			t.mu.Unlock()
+			n.Close()
+			return
+		}
+		t.live[n] = nil
+		t.mu.Unlock()
+		wg.Go(func() { t.serve(n) })
+	}
+}
+
+func (t *Target) serve(n net.Conn) {
+	s := &session{
+		target:  t,
+		net:     n,
+		back:    pgproto3.NewBackend(n, n),
+		cancel:  make(chan struct{}, 1),
+		stmts:   make(map[string]prepared),
+		portals: make(map[string]portal),
+	}
+	t.mu.Lock()
+	t.live[n] = s
+	t.mu.Unlock()
+	defer func() {
+		s.rollback()
+		n.Close()
+		t.mu.Lock()
+		delete(t.live, n)
+		delete(t.sessions, s.pid)
+		t.mu.Unlock()
+	}()
+	ok, err := s.startup()
+	if !s.control && ok {
+		defer t.conns.Add(-1)
+	}
+	if err != nil || !ok {
+		return
+	}
+	for {
+		m, err := s.back.Receive()
+		if err != nil {
+			return
+		}
+		s.waitThaw()
+		if err := s.handle(m); err != nil {
+			return
+		}
+	}
+}
+
+// waitThaw blocks while the target is frozen.
+func (s *session) waitThaw() {
+	for s.target.frozen.Load() {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (s *session) startup() (bool, error) {
+	m, err := s.back.ReceiveStartupMessage()
+	if err != nil {
+		return false, err
+	}
+	s.waitThaw()
+	switch m := m.(type) {
+	case *pgproto3.CancelRequest:
+		s.target.cancelSession(m)
+		return false, nil
+	case *pgproto3.StartupMessage:
+		return s.login(m)
+	}
+	return false, errors.New("unexpected startup message")
+}
+
+func (s *session) login(m *pgproto3.StartupMessage) (bool, error) {
+	t := s.target
+	s.control = m.Parameters["application_name"] == pgwire.ControlApp
+	s.back.Send(&pgproto3.AuthenticationCleartextPassword{})
+	if err := s.back.Flush(); err != nil {
+		return false, err
+	}
+	s.back.SetAuthType(pgproto3.AuthTypeCleartextPassword)
+	p, err := s.back.Receive()
+	if err != nil {
+		return false, err
+	}
+	pw, ok := p.(*pgproto3.PasswordMessage)
+	if !ok || pw.Password != t.opt.Password || m.Parameters["user"] != t.opt.User {
+		s.sendError(&pgwire.ServerError{Code: "28P01", Message: "password authentication failed"})
+		return false, s.back.Flush()
+	}
+	if !s.control {
+		if n := t.conns.Add(1); t.opt.Connections > 0 && int(n) > t.opt.Connections {
+			t.conns.Add(-1)
+			s.control = true // not counted
+			s.sendError(&pgwire.ServerError{Code: "53300", Message: "too many connections"})
+			return false, s.back.Flush()
+		}
+		time.Sleep(t.opt.Connect)
+	}
+	s.secret = make([]byte, 8)
+	rand.Read(s.secret)
+	s.pid = binary.BigEndian.Uint32(s.secret)
+	s.secret = s.secret[4:]
+	t.mu.Lock()
+	t.sessions[s.pid] = s
+	t.mu.Unlock()
+	s.back.Send(&pgproto3.AuthenticationOk{})
+	s.back.Send(&pgproto3.ParameterStatus{Name: "server_version", Value: "16.0"})
+	s.back.Send(&pgproto3.ParameterStatus{Name: "client_encoding", Value: "UTF8"})
+	s.back.Send(&pgproto3.BackendKeyData{ProcessID: s.pid, SecretKey: s.secret})
+	s.ready()
+	return true, s.back.Flush()
+}
+
+func (t *Target) cancelSession(m *pgproto3.CancelRequest) {
+	t.mu.Lock()
+	s := t.sessions[m.ProcessID]
+	t.mu.Unlock()
+	if s == nil || string(s.secret) != string(m.SecretKey) {
+		return
+	}
+	select {
+	case s.cancel <- struct{}{}:
+	default:
+	}
+}
+
+func (s *session) handle(m pgproto3.FrontendMessage) error {
+	if s.skip {
+		if _, ok := m.(*pgproto3.Sync); !ok {
+			return nil
+		}
+	}
+	var err error
+	switch m := m.(type) {
+	case *pgproto3.Query:
+		s.simple(m.String)
+		s.ready()
+		return s.back.Flush()
+	case *pgproto3.Parse:
+		s.stmts[m.Name] = prepared{sql: m.Query, params: params(m)}
+		s.back.Send(&pgproto3.ParseComplete{})
+	case *pgproto3.Bind:
+		err = s.bind(m)
+	case *pgproto3.Describe:
+		err = s.describe(m)
+	case *pgproto3.Execute:
+		err = s.execute(m)
+	case *pgproto3.Close:
+		if m.ObjectType == 'S' {
+			delete(s.stmts, m.Name)
+		} else {
+			delete(s.portals, m.Name)
+		}
+		s.back.Send(&pgproto3.CloseComplete{})
+	case *pgproto3.Flush:
+		return s.back.Flush()
+	case *pgproto3.Sync:
+		s.skip = false
+		s.endImplicit()
+		s.ready()
+		return s.back.Flush()
+	case *pgproto3.Terminate:
+		return io.EOF
+	default:
+		err = &pgwire.ServerError{Code: "08P01", Message: "unexpected message"}
+	}
+	if err != nil {
+		s.fail(err)
+		s.skip = true
+	}
+	return nil
+}
+
+// params returns the parameter types of a Parse, zero where left open.
+func params(m *pgproto3.Parse) []uint32 {
+	list := append([]uint32(nil), m.ParameterOIDs...)
+	for i := 1; i < 200; i++ {
+		if i > len(list) && strings.Contains(m.Query, "$"+strconv.Itoa(i)) {
+			list = append(list, 0)
+		}
+	}
+	return list
+}
+
+func (s *session) ready() {
+	if !s.written.IsZero() {
+		s.back.Send(&pgproto3.ParameterStatus{Name: pgwire.PositionParam, Value: s.written.String()})
+		s.written = pollendoor.Position{}
+	}
+	status := byte('I')
+	if s.inTx {
+		status = 'T'
+	}
+	if s.failed {
+		status = 'E'
+	}
+	s.back.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+}
+
+// fail sends an error and gives the open transaction up.
+func (s *session) fail(err error) {
+	s.sendError(err)
+	if s.inTx {
+		s.failed = true
+		return
+	}
+	s.rollback()
+}
+
+func (s *session) sendError(err error) {
+	var se *pgwire.ServerError
+	if !errors.As(err, &se) {
+		se = &pgwire.ServerError{Code: sqlState(err), Message: err.Error()}
+	}
+	s.back.Send(&pgproto3.ErrorResponse{Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: se.Code, Message: se.Message, Detail: se.Detail})
+}
+
+// sqlState maps the engine's messages to SQLSTATE codes.
+func sqlState(err error) string {
+	m := err.Error()
+	switch {
+	case strings.Contains(m, "UNIQUE constraint"):
+		return "23505"
+	case strings.Contains(m, "NOT NULL constraint"):
+		return "23502"
+	case strings.Contains(m, "CHECK constraint"):
+		return "23514"
+	case strings.Contains(m, "no such table"):
+		return "42P01"
+	case strings.Contains(m, "no such column"):
+		return "42703"
+	case strings.Contains(m, "syntax error"):
+		return "42601"
+	}
+	return "XX000"
+}
+
+func (s *session) simple(text string) {
+	if rows, ok, err := s.controlQuery(text); ok {
+		if err != nil {
+			s.sendError(err)
+			return
+		}
+		s.sendControl(rows)
+		return
+	}
+	list := route.Split(text)
+	if len(list) == 0 {
+		s.back.Send(&pgproto3.EmptyQueryResponse{})
+		return
+	}
+	for _, sql := range list {
+		res, err := s.exec(statement{SQL: sql})
+		if err == nil {
+			if res.columns != nil {
+				s.back.Send(rowDescription(res.columns, nil))
+			}
+			err = s.sendRows(res, nil)
+		}
+		if err != nil {
+			s.fail(err)
+			return
+		}
+	}
+	s.endImplicit()
+}
+
+// controlQuery runs a command of the control protocol, if text is one.
+func (s *session) controlQuery(text string) ([][]string, bool, error) {
+	word, rest, _ := strings.Cut(text, " ")
+	f := strings.Fields(rest)
+	num := func(i int) uint64 {
+		if i >= len(f) {
+			return 0
+		}
+		n, _ := strconv.ParseUint(f[i], 10, 64)
+		return n
+	}
+	t := s.target
+	term := pollendoor.Term(num(0))
+	var st pollendoor.TargetStatus
+	var err error
+	switch word {
+	case "STATUS":
+		st = t.Status()
+	case "FENCE":
+		st = t.Fence(term)
+	case "PROMOTE":
+		st, err = t.Promote(term)
+	case "FOLLOW":
+		if len(f) != 3 {
+			return nil, true, errors.New("FOLLOW wants term, address and index")
+		}
+		st, err = t.Follow(term, f[1], num(2))
+	case "REPLICATE":
+		rows, err := t.ship(context.Background(), term, num(1))
+		return rows, true, err
+	default:
+		return nil, false, nil
+	}
+	if !s.control {
+		return nil, true, errors.New("control commands want a control connection")
+	}
+	raw, _ := json.Marshal(st)
+	return [][]string{{string(raw)}}, true, err
+}
+
+func (s *session) sendControl(rows [][]string) {
+	s.back.Send(rowDescription([]column{{name: "value", oid: 25}}, nil))
+	for _, r := range rows {
+		s.back.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(r[0])}})
+	}
+	s.back.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT")})
+}
+
+func (s *session) bind(m *pgproto3.Bind) error {
+	st, ok := s.stmts[m.PreparedStatement]
+	if !ok {
+		return &pgwire.ServerError{Code: "26000", Message: "prepared statement does not exist"}
+	}
+	p := portal{stmt: st, formats: append([]int16(nil), m.ResultFormatCodes...)}
+	for i, raw := range m.Parameters {
+		oid := uint32(0)
+		if i < len(st.params) {
+			oid = st.params[i]
+		}
+		v, err := decode(raw, oid, format(m.ParameterFormatCodes, i))
+		if err != nil {
+			return err
+		}
+		p.args = append(p.args, v)
+	}
+	s.portals[m.DestinationPortal] = p
+	s.back.Send(&pgproto3.BindComplete{})
+	return nil
+}
+
+// format returns the format code of the value at i, by the protocol's rule for
+// short lists.
+func format(codes []int16, i int) int16 {
+	switch {
+	case len(codes) == 0:
+		return 0
+	case len(codes) == 1:
+		return codes[0]
+	case i < len(codes):
+		return codes[i]
+	}
+	return 0
+}
+
+func (s *session) describe(m *pgproto3.Describe) error {
+	st, formats := s.stmts[m.Name], []int16(nil)
+	if m.ObjectType == 'P' {
+		p, ok := s.portals[m.Name]
+		if !ok {
+			return &pgwire.ServerError{Code: "34000", Message: "portal does not exist"}
+		}
+		st, formats = p.stmt, p.formats
+	} else {
+		if st.sql == "" {
+			return &pgwire.ServerError{Code: "26000", Message: "prepared statement does not exist"}
+		}
+		s.back.Send(&pgproto3.ParameterDescription{ParameterOIDs: st.params})
+	}
+	cols, err := s.columns(st)
+	if err != nil {
+		return err
+	}
+	if cols == nil {
+		s.back.Send(&pgproto3.NoData{})
+		return nil
+	}
+	s.back.Send(rowDescription(cols, formats))
+	return nil
+}
+
+// columns describes a statement: a read at the committed data, a write at the
+// writer's, undone at once.
+func (s *session) columns(st prepared) ([]column, error) {
+	c, _ := route.Classify(st.sql)
+	if c.Kind != route.Write || !hasRows(st.sql) || s.target.Status().Role != pollendoor.Primary {
+		return s.target.reads(s.holds).describe(st.sql, len(st.params))
+	}
+	if err := s.begin(); err != nil {
+		return nil, err
+	}
+	defer s.endDescribe()
+	return s.target.reads(true).describe(st.sql, len(st.params))
+}
+
+func rowDescription(cols []column, formats []int16) *pgproto3.RowDescription {
+	d := &pgproto3.RowDescription{}
+	for i, c := range cols {
+		d.Fields = append(d.Fields, pgproto3.FieldDescription{
+			Name: []byte(c.name), DataTypeOID: c.oid, DataTypeSize: -1, TypeModifier: -1, Format: format(formats, i),
+		})
+	}
+	return d
+}
+
+func (s *session) sendRows(res *result, formats []int16) error {
+	for _, r := range res.rows {
+		row := &pgproto3.DataRow{}
+		for i, v := range r {
+			raw, err := encode(v, res.columns[i].oid, format(formats, i))
+			if err != nil {
+				return err
+			}
+			row.Values = append(row.Values, raw)
+		}
+		s.back.Send(row)
+	}
+	s.back.Send(&pgproto3.CommandComplete{CommandTag: []byte(res.tag)})
+	return nil
+}
+
+func (s *session) execute(m *pgproto3.Execute) error {
+	p, ok := s.portals[m.Portal]
+	if !ok {
+		return &pgwire.ServerError{Code: "34000", Message: "portal does not exist"}
+	}
+	res, err := s.exec(statement{SQL: p.stmt.sql, Args: p.args})
+	if err != nil {
+		return err
+	}
+	return s.sendRows(res, p.formats)
+}
--- /dev/null
+++ b/group/ack.go
@@ -0,0 +1,34 @@
+package group
+
+import (
+	"time"
+
+	"github.com/pollendoor/pollendoor"
+)
+
+// AttestFresh is how lately a replica must have attested the term for a write
+// to be sent.
+const AttestFresh = time.Second
+
+// Attests reports whether a replica's status proves that it holds the entry p
+// of p's own term and refuses older terms only. Such a status was asked for
+// after the primary answered, so that any majority fenced for a later term
+// meets the primary or this replica with the entry in its log.
+func Attests(st pollendoor.TargetStatus, p pollendoor.Position) bool {
+	return st.Role == pollendoor.Replica && st.Term == p.Term && st.Fenced <= p.Term && st.Index >= p.Index
+}
+
+// CanAttest reports whether some replica has lately been of the record's term,
+// so that a write sent now has a chance to be acknowledged.
+func CanAttest(rec *pollendoor.GroupRecord, seen map[string]Seen, now time.Time) bool {
+	for _, t := range rec.Targets {
+		s, ok := seen[t.Name]
+		if !ok || t.Name == rec.Primary || now.Sub(s.Asked) > AttestFresh {
+			continue
+		}
+		if Attests(s.Status, pollendoor.Position{Term: rec.Term}) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/group/promote.go
@@ -0,0 +1,328 @@
+package group
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/pollendoor/pollendoor"
+)
+
+// MaxEvents bounds the events kept in a group's record.
+const MaxEvents = 40
+
+// Step is how far a promotion has come.
+type Step int
+
+// The steps of a promotion, in their order.
+const (
+	Claiming Step = iota
+	Fencing
+	Branching
+	Promoting
+	Joining
+	Opening
+	Done
+	Failed
+)
+
+// Promotion is one VM's attempt to give a group a new primary. It changes only
+// through Begin and On.
+type Promotion struct {
+	VM      string
+	Step    Step
+	Record  pollendoor.GroupRecord // as it is, or as it is being written
+	Version uint64                 // of the record in the store
+	Fenced  map[string]pollendoor.TargetStatus
+	Joined  map[string]bool
+	Barrier bool // the new term's first entry is at a replica
+	Cause   string
+}
+
+// Action is one thing for the shell to do. Every action ends in an event.
+type Action interface{ action() }
+
+// The actions of a promotion.
+type (
+	// Write puts the record into the store, on condition of its version.
+	Write struct {
+		Record  pollendoor.GroupRecord
+		Version uint64
+	}
+	// ReadBack reads the record after the answer of a Write was lost.
+	ReadBack struct{}
+	// FenceTarget fences one target.
+	FenceTarget struct {
+		Target string
+		Term   pollendoor.Term
+	}
+	// PromoteTarget promotes one target.
+	PromoteTarget struct {
+		Target string
+		Term   pollendoor.Term
+	}
+	// JoinTarget makes one target follow.
+	JoinTarget struct{ Rejoin }
+	// WriteBarrier writes the new term's first entry at the primary and waits
+	// until a replica of the term has it.
+	WriteBarrier struct {
+		Target string
+		Term   pollendoor.Term
+	}
+)
+
+func (Write) action()         {}
+func (ReadBack) action()      {}
+func (FenceTarget) action()   {}
+func (PromoteTarget) action() {}
+func (JoinTarget) action()    {}
+func (WriteBarrier) action()  {}
+
+// Event is the outcome of an action.
+type Event interface{ event() }
+
+// The events of a promotion.
+type (
+	// Written says that the record is in the store.
+	Written struct{ Version uint64 }
+	// WriteLost says that a Write may or may not have taken effect.
+	WriteLost struct{}
+	// WriteRefused says that the record in the store is another one.
+	WriteRefused struct{}
+	// Read is the record as it is in the store.
+	Read struct {
+		Record  pollendoor.GroupRecord
+		Version uint64
+	}
+	// TargetFenced says that a target is fenced.
+	TargetFenced struct{ Status pollendoor.TargetStatus }
+	// TargetPromoted says that the chosen target leads the term.
+	TargetPromoted struct{ Status pollendoor.TargetStatus }
+	// TargetJoined says that a target follows the term.
+	TargetJoined struct{ Target string }
+	// BarrierReached says that the barrier is at a replica.
+	BarrierReached struct{}
+	// TimedOut says that the promotion took too long.
+	TimedOut struct{}
+)
+
+func (Written) event()        {}
+func (WriteLost) event()      {}
+func (WriteRefused) event()   {}
+func (Read) event()           {}
+func (TargetFenced) event()   {}
+func (TargetPromoted) event() {}
+func (TargetJoined) event()   {}
+func (BarrierReached) event() {}
+func (TimedOut) event()       {}
+
+// Begin starts a promotion from the record as it is in the store. The nonce
+// must be unique to this attempt.
+func Begin(vm string, rec pollendoor.GroupRecord, version uint64, nonce, cause string, now time.Time) (*Promotion, []Action) {
+	next := cloneRecord(rec)
+	next.Term++
+	next.Phase = pollendoor.Claimed
+	next.Nonce = nonce
+	next.Holder = vm
+	p := &Promotion{
+		VM:      vm,
+		Record:  next,
+		Version: version,
+		Fenced:  make(map[string]pollendoor.TargetStatus),
+		Joined:  make(map[string]bool),
+		Cause:   cause,
+	}
+	p.note("claim", fmt.Sprintf("term %d: %s", next.Term, cause), now)
+	return p, []Action{p.write()}
+}
+
+func cloneRecord(r pollendoor.GroupRecord) pollendoor.GroupRecord {
+	r.Lineage = slices.Clone(r.Lineage)
+	r.Targets = slices.Clone(r.Targets)
+	r.Events = slices.Clone(r.Events)
+	return r
+}
+
+func (p *Promotion) note(kind, cause string, now time.Time) {
+	p.Record.Events = Append(p.Record.Events, pollendoor.Event{At: now, VM: p.VM, Kind: kind, Cause: cause})
+}
+
+// Append adds an event and drops the oldest beyond MaxEvents.
+func Append(list []pollendoor.Event, e pollendoor.Event) []pollendoor.Event {
+	list = append(list, e)
+	if n := len(list) - MaxEvents; n > 0 {
+		list = list[n:]
+	}
+	return list
+}
+
+func (p *Promotion) write() Action {
+	return Write{Record: cloneRecord(p.Record), Version: p.Version}
+}
+
+// On takes the outcome of an action and returns the next ones. An event that
+// does not belong to the current step changes nothing.
+func (p *Promotion) On(ev Event, now time.Time) []Action {
+	switch ev := ev.(type) {
+	case TimedOut:
+		if p.Step != Done {
+			p.Step = Failed
+		}
+	case WriteRefused:
+		// Also the answer to a repeated write whose first try took effect.
+		return p.unsure()
+	case WriteLost:
+		return p.unsure()
+	case Read:
+		return p.resolve(ev, now)
+	case Written:
+		p.Version = ev.Version
+		return p.written(now)
+	case TargetFenced:
+		return p.fenced(ev.Status, now)
+	case TargetPromoted:
+		return p.promoted(ev.Status)
+	case TargetJoined:
+		p.Joined[ev.Target] = true
+		return p.maybeOpen(now)
+	case BarrierReached:
+		p.Barrier = true
+		return p.maybeOpen(now)
+	}
+	return nil
+}
+
+func (p *Promotion) writing() bool {
+	return p.Step == Claiming || p.Step == Branching || p.Step == Opening
+}
+
+func (p *Promotion) unsure() []Action {
+	if !p.writing() {
+		return nil
+	}
+	return []Action{ReadBack{}}
+}
+
+// resolve compares the record in the store with the one that was written.
+func (p *Promotion) resolve(ev Read, now time.Time) []Action {
+	if !p.writing() {
+		return nil
+	}
+	r := ev.Record
+	if r.Term == p.Record.Term && r.Nonce == p.Record.Nonce && r.Phase == p.Record.Phase {
+		p.Version = ev.Version
+		return p.written(now)
+	}
+	if ev.Version == p.Version {
+		return []Action{p.write()} // the write did not take effect
+	}
+	p.Step = Failed // somebody else was faster
+	return nil
+}
+
+func (p *Promotion) written(now time.Time) []Action {
+	switch p.Step {
+	case Claiming:
+		p.Step = Fencing
+		var list []Action
+		for _, t := range p.Record.Targets {
+			list = append(list, FenceTarget{Target: t.Name, Term: p.Record.Term})
+		}
+		return list
+	case Branching:
+		p.Step = Promoting
+		return []Action{PromoteTarget{Target: p.Record.Primary, Term: p.Record.Term}}
+	case Opening:
+		p.Step = Done
+	}
+	return nil
+}
+
+// fenced notes a fenced target and branches once a majority is.
+func (p *Promotion) fenced(st pollendoor.TargetStatus, now time.Time) []Action {
+	if p.Step > Fencing || st.Fenced != p.Record.Term {
+		return nil
+	}
+	p.Fenced[st.Name] = st
+	if p.Step != Fencing || len(p.Fenced)*2 <= len(p.Record.Targets) {
+		return nil
+	}
+	chosen := Newest(&p.Record, p.Fenced)
+	p.Record.Primary = chosen.Name
+	p.Record.Lineage = append(p.Record.Lineage, pollendoor.Branch{Term: p.Record.Term, After: chosen.Index})
+	p.Record.Phase = pollendoor.Branched
+	p.note("branch", p.describe(chosen), now)
+	p.Step = Branching
+	return []Action{p.write()}
+}
+
+func (p *Promotion) describe(chosen pollendoor.TargetStatus) string {
+	text := fmt.Sprintf("term %d goes to %s after index %d; fenced:", p.Record.Term, chosen.Name, chosen.Index)
+	for _, t := range p.Record.Targets {
+		if st, ok := p.Fenced[t.Name]; ok {
+			text += fmt.Sprintf(" %s at %s", t.Name, last(&p.Record, st))
+		}
+	}
+	return text
+}
+
+// last returns the position of a target's last log entry.
+func last(rec *pollendoor.GroupRecord, st pollendoor.TargetStatus) pollendoor.Position {
+	return pollendoor.Position{Term: rec.Lineage.EntryTerm(st.Term, st.Index), Index: st.Index}
+}
+
+// Newest returns the fenced target whose last entry is newest; among equals one
+// that does not leave, then the first by name.
+func Newest(rec *pollendoor.GroupRecord, fenced map[string]pollendoor.TargetStatus) pollendoor.TargetStatus {
+	var best pollendoor.TargetStatus
+	var bestLeaves bool
+	for _, t := range rec.Targets {
+		st, ok := fenced[t.Name]
+		if !ok {
+			continue
+		}
+		p, q := last(rec, st), last(rec, best)
+		switch {
+		case best.Name == "", p.Newer(q):
+		case q.Newer(p) || !bestLeaves || t.Leaving:
+			continue
+		}
+		best, bestLeaves = st, t.Leaving
+	}
+	return best
+}
+
+// promoted has the other targets follow, and the first entry written.
+func (p *Promotion) promoted(st pollendoor.TargetStatus) []Action {
+	if p.Step != Promoting || st.Role != pollendoor.Primary || st.Term != p.Record.Term {
+		return nil
+	}
+	p.Step = Joining
+	primary, _ := p.Record.Target(p.Record.Primary)
+	list := []Action{WriteBarrier{Target: p.Record.Primary, Term: p.Record.Term}}
+	for _, t := range p.Record.Targets {
+		if t.Name == p.Record.Primary {
+			continue
+		}
+		// A target that was not fenced is told where it stands by its status later.
+		if f, ok := p.Fenced[t.Name]; ok {
+			list = append(list, JoinTarget{Rejoin{
+				Target: t.Name,
+				Addr:   primary.Addr,
+				Term:   p.Record.Term,
+				After:  p.Record.Lineage.Common(f.Term, p.Record.Term),
+			}})
+		}
+	}
+	return list
+}
+
+func (p *Promotion) maybeOpen(now time.Time) []Action {
+	if p.Step != Joining || !p.Barrier {
+		return nil
+	}
+	p.Record.Phase = pollendoor.Serving
+	p.note("serve", fmt.Sprintf("term %d serves at %s", p.Record.Term, p.Record.Primary), now)
+	p.Step = Opening
+	return []Action{p.write()}
+}
--- /dev/null
+++ b/home/host.go
@@ -0,0 +1,179 @@
+package home
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/group"
+)
+
+// GroupPrefix is where group records are kept in the store.
+const GroupPrefix = "groups/"
+
+// storeRetry is the wait after a failed call of the store.
+const storeRetry = 200 * time.Millisecond
+
+// Options says what a Host serves and with what.
+type Options struct {
+	VM       string
+	Zone     string
+	Store    pollendoor.Store
+	User     string // credentials of the system at the targets
+	Password string
+	// Connections bounds the connections of this VM to one target.
+	Connections int
+	// Rank returns this VM's place among the homes of a group, or false if the
+	// group has its home elsewhere. Nil means first for every group.
+	Rank func(group string) (int, bool)
+	// Vantages returns other VMs' fresh opinions on a group's primary.
+	Vantages func(group string) []group.Vantage
+	Log      zerolog.Logger
+}
+
+// Host runs the groups of one VM. It is safe for use by several goroutines.
+type Host struct {
+	opt    Options
+	groups atomic.Pointer[map[string]*Group] // replaced, never changed
+	mu     sync.Mutex                        // serializes replacement
+	wg     *conc.WaitGroup
+	ctx    context.Context
+	cancel context.CancelFunc
+	ring   ring
+}
+
+var _ pollendoor.Runner = (*Host)(nil)
+
+// NewHost returns a host without groups. Start has it watch the store.
+func NewHost(opt Options) *Host {
+	h := &Host{opt: opt, wg: conc.NewWaitGroup()}
+	if h.opt.Rank == nil {
+		h.opt.Rank = func(string) (int, bool) { return 0, true }
+	}
+	if h.opt.Vantages == nil {
+		h.opt.Vantages = func(string) []group.Vantage { return nil }
+	}
+	h.ctx, h.cancel = context.WithCancel(context.Background())
+	h.groups.Store(&map[string]*Group{})
+	return h
+}
+
+// Start has the host follow the group records of the store until Stop.
+func (h *Host) Start() { h.wg.Go(h.watch) }
+
+// Stop ends the host and closes all connections to targets.
+func (h *Host) Stop() {
+	h.cancel()
+	h.wg.Wait()
+	for _, g := range *h.groups.Load() {
+		g.close()
+	}
+}
+
+// watch applies the group records as they change. A store that is away leaves
+// the records as they are.
+func (h *Host) watch() {
+	var revision uint64
+	for h.ctx.Err() == nil {
+		var list []pollendoor.Object
+		var err error
+		if revision == 0 {
+			list, revision, err = h.opt.Store.List(h.ctx, GroupPrefix)
+		} else {
+			list, revision, err = h.opt.Store.Watch(h.ctx, GroupPrefix, revision)
+		}
+		if err != nil {
+			revision = 0
+			pause(h.ctx, storeRetry/2+rand.N(storeRetry))
+			continue
+		}
+		for _, o := range list {
+			h.ApplyObject(o)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// ApplyObject takes a group record as read from the store or heard from a peer.
+func (h *Host) ApplyObject(o pollendoor.Object) {
+	var rec pollendoor.GroupRecord
+	if err := json.Unmarshal(o.Value, &rec); err != nil {
+		h.opt.Log.Error().Err(err).Str("object", o.Name).Msg("group record can't be read")
+		return
+	}
+	rec.Group = strings.TrimPrefix(o.Name, GroupPrefix)
+	h.apply(rec, o.Version)
+}
+
+func (h *Host) apply(rec pollendoor.GroupRecord, version uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	old := *h.groups.Load()
+	g := old[rec.Group]
+	if g == nil {
+		g = newGroup(h, rec.Group)
+		next := make(map[string]*Group, len(old)+1)
+		for k, v := range old {
+			next[k] = v
+		}
+		next[rec.Group] = g
+		h.groups.Store(&next)
+	}
+	g.apply(rec, version)
+}
+
+// Group returns the group called name.
+func (h *Host) Group(name string) (*Group, bool) {
+	g, ok := (*h.groups.Load())[name]
+	return g, ok
+}
+
+// Groups returns the names of the groups known.
+func (h *Host) Groups() []string {
+	var list []string
+	for n := range *h.groups.Load() {
+		list = append(list, n)
+	}
+	return list
+}
+
+// Open opens a link to a group.
+func (h *Host) Open(name string) (pollendoor.Link, *pollendoor.Refusal) {
+	g, ok := h.Group(name)
+	if !ok {
+		return nil, pollendoor.Refuse(pollendoor.CodeNoRoute, "database group "+name+" is not known", "no record of it was read from the platform")
+	}
+	return &Link{group: g}, nil
+}
+
+// Ready reports whether every group of which this VM is a home has a target
+// that was seen.
+func (h *Host) Ready() error {
+	groups := *h.groups.Load()
+	if len(groups) == 0 {
+		return errors.New("no group is known yet")
+	}
+	for n, g := range groups {
+		if v := g.view.Load(); v.rec.Phase != pollendoor.Serving {
+			return errors.Newf("group %s does not serve yet", n)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/home/member.go
@@ -0,0 +1,110 @@
+package home
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/group"
+	"github.com/pollendoor/pollendoor/pgwire"
+	"github.com/pollendoor/pollendoor/pool"
+	"github.com/pollendoor/pollendoor/queue"
+)
+
+const (
+	// statusEvery is the time between status requests while nobody waits.
+	statusEvery = 100 * time.Millisecond
+	// statusSpacing is the least time between status requests while writes wait
+	// to be acknowledged.
+	statusSpacing = 200 * time.Microsecond
+	// statusTimeout bounds one status request.
+	statusTimeout = 300 * time.Millisecond
+	// statusBackoff is the wait after a failed status request.
+	statusBackoff = 40 * time.Millisecond
+)
+
+// member is one target of a group as this VM sees it.
+type member struct {
+	group   *Group
+	addr    pollendoor.TargetAddr
+	control pool.Control // status requests
+	admin   pool.Control // steps of promotions
+	pool    pool.Pool
+	gate    queue.Gate
+	seen    atomic.Pointer[group.Seen]
+	cancel  context.CancelFunc
+}
+
+func newMember(g *Group, addr pollendoor.TargetAddr) *member {
+	o := g.host.opt
+	login := pgwire.Login{Addr: addr.Addr, User: o.User, Password: o.Password, Database: g.name, App: "pollendoor"}
+	m := &member{group: g, addr: addr}
+	m.control.Login = login
+	m.admin.Login = login
+	m.pool.Login = login
+	m.gate.SetLimit(o.Connections)
+	return m
+}
+
+func (m *member) start(ctx context.Context) {
+	ctx, m.cancel = context.WithCancel(ctx)
+	m.group.host.wg.Go(func() { m.poll(ctx) })
+}
+
+// poll keeps asking for the status: seldom while nobody waits, back to back
+// while writes wait. One request is outstanding at a time, so all waiting writes
+// share each answer.
+func (m *member) poll(ctx context.Context) {
+	trimmed := time.Now()
+	for ctx.Err() == nil {
+		asked := time.Now()
+		err := m.ask(ctx, asked)
+		if err != nil {
+			m.pool.Drop()
+			m.group.bump()
+			pause(ctx, statusBackoff)
+			continue
+		}
+		if asked.Sub(trimmed) > time.Second {
+			m.pool.Trim(asked)
+			trimmed = asked
+		}
+		m.rest(ctx)
+	}
+	m.control.Close()
+	m.admin.Close()
+}
+
+func (m *member) ask(ctx context.Context, asked time.Time) error {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	st, err := m.control.Status(ctx)
+	if err != nil {
+		return err
+	}
+	st.Name = m.addr.Name
+	m.seen.Store(&group.Seen{Status: st, Asked: asked})
+	m.group.bump()
+	return nil
+}
+
+// rest waits until the next status request is due.
+func (m *member) rest(ctx context.Context) {
+	if m.group.waiters.Load() > 0 {
+		pause(ctx, statusSpacing)
+		return
+	}
+	t := time.NewTimer(statusEvery)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-m.group.kicked():
+	}
+}
+
+func (m *member) close() {
+	m.cancel()
+	m.pool.Close()
+}
--- /dev/null
+++ b/home/ring.go
@@ -0,0 +1,31 @@
+package home
+
+import (
+	"sync"
+
+	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/group"
+)
+
+// ring keeps the newest events of this VM for explain.
+type ring struct {
+	mu     sync.Mutex
+	events map[string][]pollendoor.Event
+}
+
+func (r *ring) add(name string, e pollendoor.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.events == nil {
+		r.events = make(map[string][]pollendoor.Event)
+	}
+	r.events[name] = group.Append(r.events[name], e)
+}
+
+// Events returns the newest local events of a group: suspicions, refusals and
+// targets brought back.
+func (h *Host) Events(name string) []pollendoor.Event {
+	h.ring.mu.Lock()
+	defer h.ring.mu.Unlock()
+	return append([]pollendoor.Event(nil), h.ring.events[name]...)
+}
--- /dev/null
+++ b/outcome.go
@@ -0,0 +1,59 @@
+package pollendoor
+
+import "fmt"
+
+// Fate says what became of a statement. Only what is certain is called NotRun.
+type Fate string
+
+// The fates of a statement.
+const (
+	Ran     Fate = "ran"
+	NotRun  Fate = "notRun"
+	Unknown Fate = "unknown"
+)
+
+// SQLSTATE codes of the system's own refusals.
+const (
+	CodeRateExceeded  = "53400" // configuration_limit_exceeded
+	CodeQueueFull     = "53300" // too_many_connections
+	CodeNoPrimary     = "57P03" // cannot_connect_now
+	CodeShutdown      = "57P01" // admin_shutdown
+	CodeUnknown       = "08007" // transaction_resolution_unknown
+	CodeBadKey        = "28P01" // invalid_password
+	CodeDenied        = "42501" // insufficient_privilege
+	CodeDeadline      = "57014" // query_canceled
+	CodeNotSupported  = "0A000" // feature_not_supported
+	CodeProtocol      = "08P01" // protocol_violation
+	CodeBadSetting    = "22023" // invalid_parameter_value
+	CodeNoRoute       = "3D000" // invalid_catalog_name
+	CodeIDConflict    = "23505" // unique_violation
+	CodeReadOnly      = "25006" // read_only_sql_transaction
+	CodeLostWrite     = "40003" // statement_completion_unknown
+	CodeFailedTx      = "25P02" // in_failed_sql_transaction
+	CodeNoSavedAnswer = "02000" // no_data
+)
+
+// Refusal is an answer of the system itself in place of a target's. It is a
+// value that callers see, with the fate in the detail.
+type Refusal struct {
+	Code    string
+	Fate    Fate
+	Message string
+	Cause   string // for explain and logs, shown as hint
+}
+
+// Error returns the message with its code.
+func (r *Refusal) Error() string { return fmt.Sprintf("%s (SQLSTATE %s)", r.Message, r.Code) }
+
+// Detail returns the machine-readable detail line.
+func (r *Refusal) Detail() string { return "outcome=" + string(r.Fate) }
+
+// Refuse returns a refusal for a statement that certainly did not run.
+func Refuse(code, message, cause string) *Refusal {
+	return &Refusal{Code: code, Fate: NotRun, Message: message, Cause: cause}
+}
+
+// Unsure returns a refusal for a statement of which nobody knows whether it ran.
+func Unsure(message, cause string) *Refusal {
+	return &Refusal{Code: CodeUnknown, Fate: Unknown, Message: message, Cause: cause}
+}
--- /dev/null
+++ b/pool/control.go
@@ -0,0 +1,98 @@
+package pool
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/pgwire"
+)
+
+// Control is the control side of one target over its wire protocol. It keeps
+// one connection, which it dials again after an error. It is safe for use by
+// several goroutines, one call at a time.
+type Control struct {
+	Login pgwire.Login
+
+	mu   sync.Mutex
+	conn *pgwire.Conn
+}
+
+var _ pollendoor.Target = (*Control)(nil)
+
+// Query runs one simple query and returns its rows.
+func (c *Control) Query(ctx context.Context, sql string) ([][]string, error) {
+	rows, _, err := c.Exec(ctx, sql)
+	return rows, err
+}
+
+// Exec runs one simple query and returns its rows and the position of the write
+// it made, if any.
+func (c *Control) Exec(ctx context.Context, sql string) ([][]string, pollendoor.Position, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == nil {
+		l := c.Login
+		l.App = pgwire.ControlApp
+		conn, err := pgwire.Dial(ctx, l)
+		if err != nil {
+			return nil, pollendoor.Position{}, err
+		}
+		c.conn = conn
+	}
+	rows, err := c.conn.Simple(ctx, sql)
+	var se *pgwire.ServerError
+	if err != nil && !errors.As(err, &se) {
+		c.conn.Close()
+		c.conn = nil
+		return nil, pollendoor.Position{}, err
+	}
+	return rows, c.conn.Position, err
+}
+
+// Close closes the connection. The next call dials again.
+func (c *Control) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		c.conn.Close()
+		c.conn = nil
+	}
+}
+
+func (c *Control) command(ctx context.Context, text string) (pollendoor.TargetStatus, error) {
+	var st pollendoor.TargetStatus
+	rows, err := c.Query(ctx, text)
+	if err != nil {
+		return st, err
+	}
+	if len(rows) != 1 || len(rows[0]) != 1 {
+		return st, errors.Newf("target answered %q with %d rows", text, len(rows))
+	}
+	err = json.Unmarshal([]byte(rows[0][0]), &st)
+	return st, errors.Wrap(err, "target status")
+}
+
+// Status asks for the target's status.
+func (c *Control) Status(ctx context.Context) (pollendoor.TargetStatus, error) {
+	return c.command(ctx, "STATUS")
+}
+
+// Fence makes the target refuse terms smaller than t.
+func (c *Control) Fence(ctx context.Context, t pollendoor.Term) (pollendoor.TargetStatus, error) {
+	return c.command(ctx, fmt.Sprintf("FENCE %d", t))
+}
+
+// Promote makes the target the primary of term t.
+func (c *Control) Promote(ctx context.Context, t pollendoor.Term) (pollendoor.TargetStatus, error) {
+	return c.command(ctx, fmt.Sprintf("PROMOTE %d", t))
+}
+
+// Follow makes the target a replica in term t of the primary at addr.
+func (c *Control) Follow(ctx context.Context, t pollendoor.Term, addr string, after uint64) (pollendoor.TargetStatus, error) {
+	return c.command(ctx, fmt.Sprintf("FOLLOW %d %s %d", t, addr, after))
+}
--- /dev/null
+++ b/pool/pool.go
@@ -0,0 +1,105 @@
+package pool
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pollendoor/pollendoor/pgwire"
+)
+
+const (
+	// idleCheck is how long a connection may have been idle without being looked
+	// at before it is used.
+	idleCheck = 20 * time.Millisecond
+	// idleClose is how long an idle connection is kept.
+	idleClose = 60 * time.Second
+)
+
+// Pool is the connections of one VM to one target. How many may be open is the
+// concern of the queue in front of it; the pool keeps those that are idle. The
+// zero value with a Login is ready to use.
+type Pool struct {
+	Login pgwire.Login
+
+	mu     sync.Mutex
+	idle   []*Conn
+	closed bool
+}
+
+// Get returns an idle connection or dials one. An error means that nothing was
+// sent on behalf of a caller.
+func (p *Pool) Get(ctx context.Context) (*Conn, error) {
+	for {
+		c := p.pop()
+		if c == nil {
+			break
+		}
+		if time.Since(c.idleAt) < idleCheck || c.alive() {
+			return c, nil
+		}
+		c.Close()
+	}
+	w, err := pgwire.Dial(ctx, p.Login)
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{Conn: w, status: 'I'}, nil
+}
+
+func (p *Pool) pop() *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 {
+		return nil
+	}
+	c := p.idle[len(p.idle)-1]
+	p.idle = p.idle[:len(p.idle)-1]
+	return c
+}
+
+// Put takes a connection back. One that is broken or within a transaction is
+// closed.
+func (p *Pool) Put(c *Conn) {
+	c.idleAt = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || !c.reusable() {
+		c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+// Trim closes connections that have been idle for long.
+func (p *Pool) Trim(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	keep := p.idle[:0]
+	for _, c := range p.idle {
+		if now.Sub(c.idleAt) < idleClose {
+			keep = append(keep, c)
+			continue
+		}
+		c.Close()
+	}
+	p.idle = keep
+}
+
+// Drop closes the idle connections, after the target was lost.
+func (p *Pool) Drop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle {
+		c.Close()
+	}
+	p.idle = nil
+}
+
+// Close closes the pool. Connections that are out are closed when they return.
+func (p *Pool) Close() {
+	p.Drop()
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+}
--- /dev/null
+++ b/queue/gate.go
@@ -0,0 +1,126 @@
+package queue
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Gate lets a bounded number of holders pass at a time, in the order of a
+// Queue. The zero value lets nobody pass until SetLimit. It is safe for use by
+// several goroutines.
+type Gate struct {
+	mu      sync.Mutex
+	queue   Queue
+	limit   int
+	holders int
+	next    uint64
+	waiters map[uint64]chan bool
+}
+
+// SetLimit sets how many may hold the gate at a time.
+func (g *Gate) SetLimit(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limit = n
+	g.grant()
+}
+
+// Load returns how many hold the gate, and how many wait.
+func (g *Gate) Load() (holders, waiting int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.holders, g.queue.Len()
+}
+
+// Outcome is what became of a request at a gate.
+type Outcome int
+
+// The outcomes of Enter.
+const (
+	Entered Outcome = iota
+	Full
+	Late
+	Gone // the context ended
+)
+
+// Enter waits for a place. With Entered the caller must Leave.
+func (g *Gate) Enter(ctx context.Context, r Request) Outcome {
+	g.mu.Lock()
+	if g.holders < g.limit && g.queue.Len() == 0 {
+		g.holders++
+		g.mu.Unlock()
+		return Entered
+	}
+	id := g.next
+	g.next++
+	switch g.queue.Push(id, r, g.limit, time.Now()) {
+	case FlowFull:
+		g.mu.Unlock()
+		return Full
+	case TooLate:
+		g.mu.Unlock()
+		return Late
+	}
+	if g.waiters == nil {
+		g.waiters = make(map[uint64]chan bool)
+	}
+	ch := make(chan bool, 1)
+	g.waiters[id] = ch
+	g.mu.Unlock()
+	select {
+	case ok := <-ch:
+		if ok {
+			return Entered
+		}
+		return Late
+	case <-ctx.Done():
+		return g.abandon(id, ch)
+	}
+}
+
+// abandon withdraws a waiting request, or keeps the place it just got.
+func (g *Gate) abandon(id uint64, ch chan bool) Outcome {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case ok := <-ch:
+		if ok {
+			return Entered
+		}
+		return Late
+	default:
+	}
+	delete(g.waiters, id)
+	g.queue.Remove(id)
+	return Gone
+}
+
+// Leave gives a place back after it was held for d.
+func (g *Gate) Leave(d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.holders--
+	g.queue.Served(d)
+	g.grant()
+}
+
+// grant hands free places to those who wait. The caller holds mu.
+func (g *Gate) grant() {
+	for g.holders < g.limit {
+		id, late, ok := g.queue.Pop(time.Now())
+		for _, l := range late {
+			g.tell(l, false)
+		}
+		if !ok {
+			return
+		}
+		g.holders++
+		g.tell(id, true)
+	}
+}
+
+func (g *Gate) tell(id uint64, ok bool) {
+	g.waiters[id] <- ok
+	delete(g.waiters, id)
+}
--- /dev/null
+++ b/queue/queue.go
@@ -0,0 +1,185 @@
+package queue
+
+import (
+	"container/heap"
+	"time"
+)
+
+const (
+	// batchShare is the weight of a team's batch flow relative to its
+	// interactive one.
+	batchShare = 0.2
+	// DefaultFlowLimit bounds the waiting statements of one flow.
+	DefaultFlowLimit = 512
+)
+
+// Request is one statement that wants a connection.
+type Request struct {
+	Team     string
+	Weight   float64 // zero counts as one
+	Batch    bool
+	Deadline time.Time // zero for none
+}
+
+// Verdict is the answer of Push.
+type Verdict int
+
+// The verdicts on a request.
+const (
+	Waits Verdict = iota
+	FlowFull
+	TooLate // it would not be served before its deadline
+)
+
+type flowKey struct {
+	team  string
+	batch bool
+}
+
+type flow struct {
+	finish  float64 // virtual finish time of its last item
+	waiting int
+}
+
+type item struct {
+	key   flowKey
+	start float64
+	order uint64
+	req   Request
+	id    uint64
+}
+
+type itemHeap []*item
+
+func (h itemHeap) Len() int { return len(h) }
+func (h itemHeap) Less(i, j int) bool {
+	if h[i].start != h[j].start {
+		return h[i].start < h[j].start
+	}
+	return h[i].order < h[j].order
+}
+func (h itemHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *itemHeap) Push(x any)   { *h = append(*h, x.(*item)) }
+func (h *itemHeap) Pop() any {
+	old := *h
+	it := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return it
+}
+
+// Queue orders waiting requests. The zero value is an empty queue. A Queue is
+// not safe for use by several goroutines at once.
+type Queue struct {
+	FlowLimit int // zero means DefaultFlowLimit
+
+	virtual float64
+	flows   map[flowKey]*flow
+	items   itemHeap
+	gone    map[uint64]bool
+	order   uint64
+	waiting int
+	service time.Duration // moving average of one statement's time
+}
+
+// Len returns how many requests wait.
+func (q *Queue) Len() int { return q.waiting }
+
+// Push adds a request under an id of the caller's choice. Servers is how many
+// requests are served at a time.
+func (q *Queue) Push(id uint64, r Request, servers int, now time.Time) Verdict {
+	key := flowKey{r.Team, r.Batch}
+	f := q.flows[key]
+	if f == nil {
+		f = &flow{}
+		if q.flows == nil {
+			q.flows = make(map[flowKey]*flow)
+			q.gone = make(map[uint64]bool)
+		}
+		q.flows[key] = f
+	}
+	limit := q.FlowLimit
+	if limit == 0 {
+		limit = DefaultFlowLimit
+	}
+	if f.waiting >= limit {
+		return FlowFull
+	}
+	if !r.Deadline.IsZero() && now.Add(q.wait(f, servers)).After(r.Deadline) {
+		return TooLate
+	}
+	q.order++
+	start := max(q.virtual, f.finish)
+	f.finish = start + 1/weight(r)
+	f.waiting++
+	q.waiting++
+	heap.Push(&q.items, &item{key: key, start: start, order: q.order, req: r, id: id})
+	return Waits
+}
+
+func weight(r Request) float64 {
+	w := r.Weight
+	if w <= 0 {
+		w = 1
+	}
+	if r.Batch {
+		w *= batchShare
+	}
+	return w
+}
+
+// wait estimates the least time until a request at the end of the flow is
+// served: that of the flow's own items, were it alone.
+func (q *Queue) wait(f *flow, servers int) time.Duration {
+	if servers < 1 {
+		servers = 1
+	}
+	return q.service * time.Duration(f.waiting) / time.Duration(servers)
+}
+
+// Pop returns the id of the next request to serve. Requests whose deadline has
+// passed are returned in late instead. It reports false when none waits.
+func (q *Queue) Pop(now time.Time) (id uint64, late []uint64, ok bool) {
+	for len(q.items) > 0 {
+		it := heap.Pop(&q.items).(*item)
+		if q.gone[it.id] {
+			delete(q.gone, it.id)
+			continue
+		}
+		q.leave(it)
+		if !it.req.Deadline.IsZero() && now.After(it.req.Deadline) {
+			late = append(late, it.id)
+			continue
+		}
+		q.virtual = max(q.virtual, it.start)
+		return it.id, late, true
+	}
+	q.flows = nil // an idle queue remembers nobody
+	q.virtual = 0
+	return 0, late, false
+}
+
+func (q *Queue) leave(it *item) {
+	q.waiting--
+	f := q.flows[it.key]
+	f.waiting--
+}
+
+// Remove takes out a waiting request whose caller has gone.
+func (q *Queue) Remove(id uint64) {
+	for _, it := range q.items {
+		if it.id == id && !q.gone[id] {
+			q.gone[id] = true
+			q.leave(it)
+			return
+		}
+	}
+}
+
+// Served tells how long a statement took, for the estimate of waits.
+func (q *Queue) Served(d time.Duration) {
+	if q.service == 0 {
+		q.service = d
+		return
+	}
+	q.service += (d - q.service) / 16
+}
--- /dev/null
+++ b/token/token.go
@@ -0,0 +1,102 @@
+// Package token holds the session token: the newest log position a session has
+// written or read in each database group. A VM that is handed the token serves
+// reads only from targets that cover it, which gives read-your-writes on any VM.
+package token
+
+import (
+	"encoding/base64"
+	"sort"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/pollendoor/pollendoor"
+)
+
+// MaxLen is the longest token text that Parse takes, in bytes.
+const MaxLen = 4096
+
+// prefix marks the version of the encoding.
+const prefix = "p1."
+
+// Token maps a group's name to the newest position the session depends on. The
+// zero value is an empty token, ready to use. A Token is not safe for use by
+// several goroutines at once.
+type Token struct {
+	seen map[string]pollendoor.Position
+}
+
+type entry struct {
+	_     struct{} `cbor:",toarray"`
+	Group string
+	Term  uint64
+	Index uint64
+}
+
+// Parse reads the text form. The empty string is the empty token.
+func Parse(text string) (Token, error) {
+	var t Token
+	if text == "" {
+		return t, nil
+	}
+	if len(text) > MaxLen {
+		return t, errors.Newf("session token is %d bytes long, at most %d are taken", len(text), MaxLen)
+	}
+	body, ok := strings.CutPrefix(text, prefix)
+	if !ok {
+		return t, errors.Newf("session token does not start with %q", prefix)
+	}
+	raw, err := base64.RawURLEncoding.DecodeString(body)
+	if err != nil {
+		return t, errors.Wrap(err, "session token is damaged")
+	}
+	var list []entry
+	if err := cbor.Unmarshal(raw, &list); err != nil {
+		return t, errors.Wrap(err, "session token is damaged")
+	}
+	for _, e := range list {
+		t.Advance(e.Group, pollendoor.Position{Term: pollendoor.Term(e.Term), Index: e.Index})
+	}
+	return t, nil
+}
+
+// At returns the position the session depends on in group.
+func (t *Token) At(group string) pollendoor.Position { return t.seen[group] }
+
+// Advance moves the token's position in group forward to p. A position that is
+// not newer changes nothing.
+func (t *Token) Advance(group string, p pollendoor.Position) {
+	if p.IsZero() || !p.Newer(t.seen[group]) {
+		return
+	}
+	if t.seen == nil {
+		t.seen = make(map[string]pollendoor.Position)
+	}
+	t.seen[group] = p
+}
+
+// Merge advances t by every entry of o.
+func (t *Token) Merge(o Token) {
+	for g, p := range o.seen {
+		t.Advance(g, p)
+	}
+}
+
+// String returns the text form, which Parse reads back. Equal tokens have equal
+// texts.
+func (t *Token) String() string {
+	if len(t.seen) == 0 {
+		return ""
+	}
+	list := make([]entry, 0, len(t.seen))
+	for g, p := range t.seen {
+		list = append(list, entry{Group: g, Term: uint64(p.Term), Index: p.Index})
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Group < list[j].Group })
+	raw, err := cbor.Marshal(list)
+	if err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "a token of plain values did not encode"))
+	}
+	return prefix + base64.RawURLEncoding.EncodeToString(raw)
+}
