home: give statements up whose target is lost from sight

Cause: a statement under way at a frozen primary waited for its own deadline of 10 s although another target had been promoted. Ruled out: the promotion itself, which was over; the stand-in, which answers nothing when frozen. Change: a target's life ends when it is unseen for the time of suspicion or replaced as the primary, and with it the statements under way. Before: the test with a frozen primary failed at the deadline.

--- a/fakes/target.go
+++ b/fakes/target.go
@@ -49,6 +49,7 @@
 
 	lag    atomic.Int64 // ns, settable while running
 	frozen atomic.Bool  // answers nothing, as a stopped process
+	killed atomic.Bool
 	conns  atomic.Int64
 
 	writer chan struct{} // holds one value while a write transaction is open
@@ -129,6 +130,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.mu.Lock()
+	t.killed.Store(false)
 	t.addr = l.Addr().String()
 	t.listener = l
 	t.live = make(map[net.Conn]*session)
@@ -151,6 +153,7 @@
 		t.mu.Unlock()
 		return
 	}
+	t.killed.Store(true)
 	t.listener.Close()
 	t.listener = nil
 	for c := range t.live {
--- a/fakes/wire.go
+++ b/fakes/wire.go
@@ -112,15 +112,15 @@
 			return
 		}
 		s.waitThaw()
-		if err := s.handle(m); err != nil {
+		if s.target.killed.Load() || s.handle(m) != nil {
 			return
 		}
 	}
 }
 
-// waitThaw blocks while the target is frozen.
+// waitThaw blocks while the target is frozen, unless it is killed.
 func (s *session) waitThaw() {
-	for s.target.frozen.Load() {
+	for s.target.frozen.Load() && !s.target.killed.Load() {
 		time.Sleep(5 * time.Millisecond)
 	}
 }
--- a/home/group.go
+++ b/home/group.go
@@ -86,6 +86,9 @@
 		next.members = append(next.members, m)
 	}
 	g.view.Store(next)
+	if m := next.member(old.rec.Primary); m != nil && rec.Term > old.rec.Term {
+		m.newLife()
+	}
 	for _, m := range old.members {
 		if next.member(m.addr.Name) != m {
 			m.close()
--- a/home/link.go
+++ b/home/link.go
@@ -19,6 +19,7 @@
 type pin struct {
 	member   *member
 	conn     *pool.Conn
+	life     context.Context // of the target, as of the start
 	since    time.Time
 	implicit bool // a batch ended in Flush outside of a transaction block
 }
@@ -28,6 +29,28 @@
 	p.member.gate.Leave(time.Since(p.since))
 }
 
+// run runs an exchange on the pinned connection. It is given up when the target
+// is lost from sight.
+func (p *pin) run(ctx context.Context, x *pollendoor.Exchange, r *pool.Reply) error {
+	stop := context.AfterFunc(p.life, func() { p.conn.Net.SetDeadline(time.Unix(1, 0)) })
+	err := p.conn.Run(ctx, x, r)
+	if !stop() && err == nil {
+		p.conn.Retire()
+	}
+	return err
+}
+
+// query runs a query of the system's own on the pinned connection, with the
+// same end.
+func (p *pin) query(ctx context.Context, sql string) ([][]string, error) {
+	stop := context.AfterFunc(p.life, func() { p.conn.Net.SetDeadline(time.Unix(1, 0)) })
+	rows, err := p.conn.Query(ctx, sql)
+	if !stop() && err == nil {
+		p.conn.Retire()
+	}
+	return rows, err
+}
+
 // Link runs one session's exchanges at a group of this VM.
 type Link struct {
 	group *Group
@@ -165,13 +188,13 @@
 	case queue.Gone:
 		return nil, pollendoor.Refuse(pollendoor.CodeDeadline, "the deadline passed before the statement was sent", "waited for a connection to "+m.addr.Name), nil
 	}
-	start := time.Now()
+	start, life := time.Now(), m.life.Load()
 	c, err := m.pool.Get(ctx)
 	if err != nil {
 		m.gate.Leave(time.Since(start))
 		return nil, nil, err
 	}
-	return &pin{member: m, conn: c, since: start}, nil, nil
+	return &pin{member: m, conn: c, life: life.ctx, since: start}, nil, nil
 }
 
 // send runs the exchange on a connection of its own. The connection is given
@@ -180,7 +203,7 @@
 	if x.RequestID != "" && x.Class == pollendoor.MustWrite && !x.Begin {
 		return l.once(ctx, p, x, r)
 	}
-	if err := p.conn.Run(ctx, x, r); err != nil {
+	if err := p.run(ctx, x, r); err != nil {
 		p.release()
 		return ended{result: retry.Lost, cause: err.Error()}
 	}
@@ -227,7 +250,7 @@
 		return l.commitOnce(ctx, x, r)
 	}
 	p := l.pin
-	if err := p.conn.Run(ctx, x, r); err != nil {
+	if err := p.run(ctx, x, r); err != nil {
 		l.Close()
 		if x.Commit || p.implicit {
 			return pollendoor.Answer{TxStatus: 'I', Refusal: pollendoor.Unsure("the outcome of the transaction is not known", err.Error())}
--- a/home/member.go
+++ b/home/member.go
@@ -33,9 +33,24 @@
 	pool    pool.Pool
 	gate    queue.Gate
 	seen    atomic.Pointer[group.Seen]
+	life    atomic.Pointer[life]
 	cancel  context.CancelFunc
 }
 
+// life ends when a target is lost from sight or no longer the primary.
+// Statements under way there are given up, for their answers may never come.
+type life struct {
+	ctx context.Context
+	end context.CancelFunc
+}
+
+func (m *member) newLife() {
+	ctx, cancel := context.WithCancel(context.Background())
+	if old := m.life.Swap(&life{ctx: ctx, end: cancel}); old != nil {
+		old.end()
+	}
+}
+
 func newMember(g *Group, addr pollendoor.TargetAddr) *member {
 	o := g.host.opt
 	login := pgwire.Login{Addr: addr.Addr, User: o.User, Password: o.Password, Database: g.name, App: "pollendoor"}
@@ -44,6 +59,7 @@
 	m.admin.Login = login
 	m.pool.Login = login
 	m.gate.SetLimit(o.Connections)
+	m.newLife()
 	return m
 }
 
@@ -56,16 +72,20 @@
 // while writes wait. One request is outstanding at a time, so all waiting writes
 // share each answer.
 func (m *member) poll(ctx context.Context) {
-	trimmed := time.Now()
+	trimmed, last := time.Now(), time.Now()
 	for ctx.Err() == nil {
 		asked := time.Now()
-		err := m.ask(ctx, asked)
-		if err != nil {
+		if m.ask(ctx, asked) != nil {
 			m.pool.Drop()
+			if time.Since(last) > group.SuspectAfter {
+				m.newLife()
+				last = time.Now()
+			}
 			m.group.bump()
 			pause(ctx, statusBackoff)
 			continue
 		}
+		last = asked
 		if asked.Sub(trimmed) > time.Second {
 			m.pool.Trim(asked)
 			trimmed = asked
@@ -106,5 +126,6 @@
 
 func (m *member) close() {
 	m.cancel()
+	m.life.Load().end()
 	m.pool.Close()
 }
--- a/home/once.go
+++ b/home/once.go
@@ -26,7 +26,7 @@
 // statement and the answer in one transaction.
 func (l *Link) once(ctx context.Context, p *pin, x *pollendoor.Exchange, r *pool.Reply) ended {
 	key := keyOf(x)
-	rows, err := p.conn.Query(ctx, "BEGIN; "+key.Claim(time.Now()))
+	rows, err := p.query(ctx, "BEGIN; "+key.Claim(time.Now()))
 	if err != nil {
 		p.abort(ctx)
 		return ended{result: retry.Refused, cause: err.Error()}
@@ -35,7 +35,7 @@
 		p.abort(ctx)
 		return l.replay(ctx, x, r)
 	}
-	if err := p.conn.Run(ctx, x, r); err != nil {
+	if err := p.run(ctx, x, r); err != nil {
 		p.release() // the transaction was never committed
 		return ended{result: retry.Refused, cause: err.Error()}
 	}
@@ -58,7 +58,7 @@
 	}
 	c, cancel := context.WithTimeout(context.WithoutCancel(ctx), left(ctx)+commitGrace)
 	defer cancel()
-	_, err := p.conn.Query(c, text)
+	_, err := p.query(c, text)
 	pos := p.conn.Position
 	var se *pgwire.ServerError
 	switch {
@@ -77,7 +77,7 @@
 func (p *pin) abort(ctx context.Context) {
 	if p.conn.Usable() {
 		c, cancel := context.WithTimeout(context.WithoutCancel(ctx), stepTimeout)
-		p.conn.Query(c, "ROLLBACK")
+		p.query(c, "ROLLBACK")
 		cancel()
 	}
 	p.release()
@@ -135,7 +135,7 @@
 func (l *Link) commitOnce(ctx context.Context, x *pollendoor.Exchange, r *pool.Reply) pollendoor.Answer {
 	key := keyOf(x)
 	p := l.pin
-	rows, err := p.conn.Query(ctx, key.Claim(time.Now()))
+	rows, err := p.query(ctx, key.Claim(time.Now()))
 	if err != nil {
 		p.abort(ctx)
 		l.pin = nil
@@ -146,7 +146,7 @@
 	}
 	c, cancel := context.WithTimeout(context.WithoutCancel(ctx), left(ctx)+commitGrace)
 	defer cancel()
-	if err := p.conn.Run(c, x, r); err != nil {
+	if err := p.run(c, x, r); err != nil {
 		l.Close()
 		return l.resolve(ctx, key, x, r, err)
 	}
@@ -158,7 +158,7 @@
 func (l *Link) commitUsed(ctx context.Context, key dedup.Key, x *pollendoor.Exchange, r *pool.Reply) pollendoor.Answer {
 	p := l.pin
 	l.pin = nil
-	_, err := p.conn.Query(ctx, "ROLLBACK")
+	_, err := p.query(ctx, "ROLLBACK")
 	if err != nil {
 		p.release()
 		return pollendoor.Answer{TxStatus: 'I', Refusal: pollendoor.Unsure("the outcome of the transaction is not known", err.Error())}
@@ -175,7 +175,7 @@
 	replays.Add(1)
 	// On the idle connection the commit changes nothing and is answered in the
 	// form the caller waits for.
-	err = p.conn.Run(ctx, x, r)
+	err = p.run(ctx, x, r)
 	p.release()
 	if err != nil {
 		return pollendoor.Answer{TxStatus: 'I', Refusal: &pollendoor.Refusal{Code: pollendoor.CodeNoSavedAnswer, Fate: pollendoor.Ran, Message: "the transaction ran before", Cause: err.Error()}}
@@ -226,7 +226,7 @@
 	if err != nil || p == nil {
 		return pollendoor.Answer{}, false
 	}
-	err = p.conn.Run(ctx, x, r)
+	err = p.run(ctx, x, r)
 	p.release()
 	return pollendoor.Answer{TxStatus: 'I', Position: pos}, err == nil && !strings.HasPrefix(string(r.Frames), "E")
 }
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -241,3 +241,6 @@
 
 // Usable reports whether the connection can take another statement.
 func (c *Conn) Usable() bool { return !c.broken }
+
+// Retire has the connection closed when it is given back.
+func (c *Conn) Retire() { c.broken = true }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -12,6 +12,8 @@
 	// idleCheck is how long a connection may have been idle without being looked
 	// at before it is used.
 	idleCheck = 20 * time.Millisecond
+	// dialTimeout bounds one try to connect and log in.
+	dialTimeout = 500 * time.Millisecond
 	// idleClose is how long an idle connection is kept.
 	idleClose = 60 * time.Second
 )
@@ -40,6 +42,8 @@
 		}
 		c.Close()
 	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
 	w, err := pgwire.Dial(ctx, p.Login)
 	if err != nil {
 		return nil, err
