--- /dev/null
+++ b/limit/ledger.go
@@ -0,0 +1,233 @@
+package limit
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// Transfer is units on their way from one VM to another.
+type Transfer struct {
+	From   string  `cbor:"f"` // identity of the giver
+	To     string  `cbor:"t"`
+	Epoch  uint64  `cbor:"e"`
+	Seq    uint64  `cbor:"s"` // of the giver towards the receiver
+	Team   string  `cbor:"m"`
+	Units  uint64  `cbor:"u"`
+	Tokens float64 `cbor:"k"`
+}
+
+// Demand is what a VM tells its peers about one team.
+type Demand struct {
+	Units uint64  `cbor:"u"`
+	Rate  float64 `cbor:"r"` // statements a second asked for
+}
+
+// Ledger is what one VM holds of all teams. The zero value with a Self holds
+// nothing. A Ledger is not safe for use by several goroutines at once.
+type Ledger struct {
+	Self  string // identity of this process, never used again after it ends
+	Epoch uint64 // zero until the VM is a member
+
+	accounts map[string]*account
+	granted  uint64            // epoch whose grant was taken
+	seqOut   map[string]uint64 // newest transfer sent, by receiver
+	seqIn    map[string]uint64 // newest transfer taken, by giver
+}
+
+func (l *Ledger) account(team string) *account {
+	a := l.accounts[team]
+	if a == nil {
+		a = &account{}
+		if l.accounts == nil {
+			l.accounts = make(map[string]*account)
+		}
+		l.accounts[team] = a
+	}
+	return a
+}
+
+// Set gives a team's rate and burst, as the settings in force say.
+func (l *Ledger) Set(team string, rate, burst float64, now time.Time) {
+	a := l.account(team)
+	a.fill(now)
+	a.rate, a.burst = rate, burst
+	a.fill(now)
+}
+
+// Take takes n statements of a team. It returns how long to wait before they
+// may run, and false if they may not.
+func (l *Ledger) Take(team string, n int, limit time.Duration, now time.Time) (time.Duration, bool) {
+	return l.account(team).take(float64(n), limit, now)
+}
+
+// Units returns what the VM holds of a team.
+func (l *Ledger) Units(team string) uint64 {
+	if a := l.accounts[team]; a != nil {
+		return a.units
+	}
+	return 0
+}
+
+// Tokens returns the level of a team's bucket.
+func (l *Ledger) Tokens(team string) float64 {
+	if a := l.accounts[team]; a != nil {
+		return a.tokens
+	}
+	return 0
+}
+
+// Holdings returns the units of all teams.
+func (l *Ledger) Holdings() map[string]uint64 {
+	m := make(map[string]uint64, len(l.accounts))
+	for t, a := range l.accounts {
+		m[t] = a.units
+	}
+	return m
+}
+
+// Demands measures what was asked for and returns what peers are told.
+func (l *Ledger) Demands(now time.Time) map[string]Demand {
+	m := make(map[string]Demand, len(l.accounts))
+	for t, a := range l.accounts {
+		a.measure(now)
+		m[t] = Demand{Units: a.units, Rate: a.demand}
+	}
+	return m
+}
+
+// Give subtracts units and their tokens and returns the message that carries
+// them, or false if the VM holds too few or is no member.
+func (l *Ledger) Give(team, to string, units uint64, now time.Time) (Transfer, bool) {
+	a := l.account(team)
+	if units == 0 || units > a.units || l.Epoch == 0 || to == l.Self {
+		return Transfer{}, false
+	}
+	a.fill(now)
+	tokens := math.Max(a.tokens, 0) * float64(units) / float64(a.units)
+	a.units -= units
+	a.tokens -= tokens
+	a.fill(now)
+	if l.seqOut == nil {
+		l.seqOut = make(map[string]uint64)
+	}
+	l.seqOut[to]++
+	return Transfer{From: l.Self, To: to, Epoch: l.Epoch, Seq: l.seqOut[to], Team: team, Units: units, Tokens: tokens}, true
+}
+
+// Receive takes a transfer. It reports whether the giver may forget it: also if
+// it was taken before, or belongs to another epoch and is lost.
+func (l *Ledger) Receive(t Transfer, now time.Time) bool {
+	if t.To != l.Self || t.Epoch > l.Epoch {
+		return false
+	}
+	if t.Epoch < l.Epoch || t.Seq <= l.seqIn[t.From] {
+		return true
+	}
+	if l.seqIn == nil {
+		l.seqIn = make(map[string]uint64)
+	}
+	l.seqIn[t.From] = t.Seq
+	a := l.account(t.Team)
+	a.fill(now)
+	a.units += t.Units
+	a.tokens += t.Tokens
+	a.fill(now)
+	return true
+}
+
+// Enter moves the VM to a new epoch and returns what it holds, to be written
+// down. Transfers of the epochs before are refused from now on.
+func (l *Ledger) Enter(epoch uint64) map[string]uint64 {
+	l.Epoch = max(l.Epoch, epoch)
+	return l.Holdings()
+}
+
+// Grant adds what an epoch grants to this VM, once.
+func (l *Ledger) Grant(epoch uint64, units map[string]uint64, now time.Time) {
+	if epoch != l.Epoch || epoch <= l.granted {
+		return
+	}
+	l.granted = epoch
+	for t, u := range units {
+		a := l.account(t)
+		a.fill(now)
+		a.units += u
+	}
+}
+
+// The bounds of planning.
+const (
+	// floorDemand is the demand that a VM without any is planned with, as a
+	// part of the team's rate.
+	floorDemand = 0.02
+	// slack is the surplus that is not worth a transfer, in units.
+	slack = Whole / 128
+)
+
+// Move is a transfer that is worth making.
+type Move struct {
+	Team  string
+	To    string
+	Units uint64
+}
+
+// Plan returns the moves that bring this VM's units towards its share of what
+// all VMs are asked for. Peers are those of the same epoch.
+func (l *Ledger) Plan(peers map[string]map[string]Demand) []Move {
+	var moves []Move
+	for team, a := range l.accounts {
+		moves = append(moves, a.plan(team, peers)...)
+	}
+	return moves
+}
+
+func (a *account) plan(team string, peers map[string]map[string]Demand) []Move {
+	floor := a.rate * floorDemand
+	total := a.demand + floor
+	held := a.units
+	for _, d := range peers {
+		total += d[team].Rate + floor
+		held += d[team].Units
+	}
+	if total <= 0 || held == 0 {
+		return nil
+	}
+	want := func(demand float64) uint64 {
+		return uint64(float64(held) * (demand + floor) / total)
+	}
+	mine := want(a.demand)
+	if a.units <= mine+slack {
+		return nil
+	}
+	surplus := a.units - mine
+	type lack struct {
+		peer  string
+		units uint64
+	}
+	var lacks []lack
+	for p, d := range peers {
+		if w := want(d[team].Rate); w > d[team].Units+slack {
+			lacks = append(lacks, lack{p, w - d[team].Units})
+		}
+	}
+	sort.Slice(lacks, func(i, j int) bool {
+		if lacks[i].units != lacks[j].units {
+			return lacks[i].units > lacks[j].units
+		}
+		return lacks[i].peer < lacks[j].peer
+	})
+	var sum uint64
+	for _, k := range lacks {
+		sum += k.units
+	}
+	var moves []Move
+	for _, k := range lacks {
+		// Other givers serve the same lacks: each takes its part of them.
+		units := min(k.units, uint64(float64(surplus)*float64(k.units)/float64(sum)))
+		if units > 0 {
+			moves = append(moves, Move{Team: team, To: k.peer, Units: units})
+		}
+	}
+	return moves
+}
--- /dev/null
+++ b/limit/limit_test.go
@@ -0,0 +1,182 @@
+package limit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/pollendoor/pollendoor/limit"
+)
+
+func ExampleLedger() {
+	now := time.Unix(0, 0)
+	l := limit.Ledger{Self: "vm1#1"}
+	l.Set("a", 10, 2, now)
+	l.Enter(1)
+	l.Grant(1, map[string]uint64{"a": limit.Whole}, now)
+	now = now.Add(time.Second)
+	for range 4 {
+		wait, ok := l.Take("a", 1, limit.MaxWait, now)
+		fmt.Println(wait, ok)
+	}
+	// Output:
+	// 0s true
+	// 0s true
+	// 100ms true
+	// 0s false
+}
+
+// fleet is a fleet of ledgers, a store and a network that loses, repeats and
+// delays messages.
+type fleet struct {
+	now     time.Time
+	vms     map[string]*limit.Ledger
+	gone    map[string]bool
+	state   limit.State
+	held    map[string]limit.Held
+	flying  []limit.Transfer
+	next    int
+	started time.Time
+	admits  []time.Time
+}
+
+const (
+	testRate  = 10.0
+	testBurst = 5.0
+)
+
+func (f *fleet) pick(t *rapid.T) *limit.Ledger {
+	if len(f.vms) == 0 {
+		t.Skip("no VM")
+	}
+	var ids []string
+	for i := range f.next {
+		if id := name(i); f.vms[id] != nil {
+			ids = append(ids, id)
+		}
+	}
+	return f.vms[rapid.SampledFrom(ids).Draw(t, "vm")]
+}
+
+func name(i int) string { return fmt.Sprintf("vm%d", i) }
+
+// check asserts the package's invariant: units in units, and statements in every
+// window that ends now.
+func (f *fleet) check(t *rapid.T) {
+	var units uint64
+	for _, l := range f.vms {
+		units += l.Units("a")
+	}
+	if units > limit.Whole {
+		t.Fatalf("got %d units held, want at most %d", units, limit.Whole)
+	}
+	for i, from := range f.admits {
+		n := float64(len(f.admits) - i)
+		last := f.admits[len(f.admits)-1]
+		if most := testBurst + testRate*last.Sub(from).Seconds() + 1e-6; n > most {
+			t.Fatalf("got %v statements within %v, want at most %v", n, last.Sub(from), most)
+		}
+	}
+}
+
+// TestInvariant drives a fleet at random through joins, deaths, transfers, lost
+// and repeated messages, and epochs.
+func TestInvariant(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{now: time.Unix(0, 0), vms: map[string]*limit.Ledger{}, gone: map[string]bool{}, held: map[string]limit.Held{}}
+		t.Repeat(map[string]func(*rapid.T){
+			"join": func(*rapid.T) {
+				id := name(f.next)
+				f.next++
+				l := &limit.Ledger{Self: id}
+				l.Set("a", testRate, testBurst, f.now)
+				f.vms[id] = l
+				f.state = f.state.Join(id)
+			},
+			"die": func(t *rapid.T) {
+				l := f.pick(t)
+				delete(f.vms, l.Self)
+				f.gone[l.Self] = true
+			},
+			"drop": func(*rapid.T) {
+				f.state = f.state.Drop(func(id string) bool { return f.gone[id] }, "gone")
+			},
+			"enter": func(t *rapid.T) {
+				l := f.pick(t)
+				if l.Epoch < f.state.Epoch {
+					f.held[l.Self] = limit.Held{Epoch: f.state.Epoch, Units: l.Enter(f.state.Epoch)}
+				}
+			},
+			"close": func(*rapid.T) {
+				if s, ok := f.state.Close(f.held, []string{"a"}); ok {
+					f.state = s
+				}
+			},
+			"grant": func(t *rapid.T) {
+				l := f.pick(t)
+				if !f.state.Collecting {
+					l.Grant(f.state.Epoch, f.state.Grants[l.Self], f.now)
+				}
+			},
+			"give": func(t *rapid.T) {
+				from, to := f.pick(t), f.pick(t)
+				units := rapid.Uint64Range(0, limit.Whole).Draw(t, "units")
+				if m, ok := from.Give("a", to.Self, min(units, from.Units("a")), f.now); ok {
+					f.flying = append(f.flying, m)
+				}
+			},
+			"deliver": func(t *rapid.T) {
+				if len(f.flying) == 0 {
+					t.Skip("nothing under way")
+				}
+				// The message stays: it may come once more, or never.
+				m := rapid.SampledFrom(f.flying).Draw(t, "message")
+				if l := f.vms[m.To]; l != nil {
+					l.Receive(m, f.now)
+				}
+			},
+			"take": func(t *rapid.T) {
+				l := f.pick(t)
+				if wait, ok := l.Take("a", 1, 0, f.now); ok && wait == 0 {
+					f.admits = append(f.admits, f.now)
+				}
+			},
+			"tick": func(t *rapid.T) {
+				f.now = f.now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": f.check,
+		})
+	})
+}
+
+// TestSharesFollowDemand moves a team's units to the VM that is asked.
+func TestSharesFollowDemand(t *testing.T) {
+	now := time.Unix(0, 0)
+	a, b := &limit.Ledger{Self: "a"}, &limit.Ledger{Self: "b"}
+	for _, l := range []*limit.Ledger{a, b} {
+		l.Set("team", 100, 100, now)
+		l.Enter(1)
+		l.Grant(1, map[string]uint64{"team": limit.Whole / 2}, now)
+		l.Demands(now)
+	}
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		for range 9 {
+			b.Take("team", 1, limit.MaxWait, now)
+		}
+		da, db := a.Demands(now), b.Demands(now)
+		for _, m := range a.Plan(map[string]map[string]limit.Demand{"b": db}) {
+			tr, _ := a.Give(m.Team, m.To, m.Units, now)
+			b.Receive(tr, now)
+		}
+		for _, m := range b.Plan(map[string]map[string]limit.Demand{"a": da}) {
+			tr, _ := b.Give(m.Team, m.To, m.Units, now)
+			a.Receive(tr, now)
+		}
+	}
+	if got, want := float64(b.Units("team"))/limit.Whole, 0.9; got < want {
+		t.Errorf("got %.2f of the units at the VM that is asked, want at least %.2f", got, want)
+	}
+}
--- /dev/null
+++ b/mirror/mirror.go
@@ -0,0 +1,112 @@
+// Package mirror holds a VM's copy of the platform's objects: settings, keys and
+// group records. A copy only moves to newer versions of each object, wherever
+// they come from, so it never reverts; and it knows how old it may be, for
+// rules that must not rest on old data.
+package mirror
+
+import (
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pollendoor/pollendoor"
+)
+
+// Mirror is a copy of objects. The zero value is empty and ready to use. It is
+// safe for use by several goroutines.
+type Mirror struct {
+	mu      sync.Mutex
+	objects map[string]entry
+	seq     uint64
+	asOf    time.Time
+	changed chan struct{}
+}
+
+type entry struct {
+	object pollendoor.Object
+	seq    uint64 // of this copy, at which the object came
+}
+
+// Apply takes objects that are newer than the copy's and returns them. AsOf is
+// a moment at which the source was level with the store; the zero time claims
+// nothing.
+func (m *Mirror) Apply(list []pollendoor.Object, asOf time.Time) []pollendoor.Object {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.objects == nil {
+		m.objects = make(map[string]entry)
+	}
+	var news []pollendoor.Object
+	for _, o := range list {
+		if o.Version <= m.objects[o.Name].object.Version {
+			continue
+		}
+		m.seq++
+		m.objects[o.Name] = entry{object: o, seq: m.seq}
+		news = append(news, o)
+	}
+	if asOf.After(m.asOf) {
+		m.asOf = asOf
+	}
+	if len(news) > 0 && m.changed != nil {
+		close(m.changed)
+		m.changed = nil
+	}
+	return news
+}
+
+// AsOf returns the newest moment at which the copy is known to have been level
+// with the store.
+func (m *Mirror) AsOf() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.asOf
+}
+
+// Changed returns a channel that is closed at the next news.
+func (m *Mirror) Changed() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.changed == nil {
+		m.changed = make(chan struct{})
+	}
+	return m.changed
+}
+
+// Since returns the objects that came after seq, the copy's sequence number
+// now, and its age.
+func (m *Mirror) Since(seq uint64) ([]pollendoor.Object, uint64, time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []pollendoor.Object
+	if seq < m.seq {
+		for _, e := range m.objects {
+			if e.seq > seq {
+				list = append(list, e.object)
+			}
+		}
+	}
+	return list, m.seq, m.asOf
+}
+
+// Get returns the object called name; its version is zero if there is none.
+func (m *Mirror) Get(name string) pollendoor.Object {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.objects[name].object
+}
+
+// Below returns the objects whose names start with prefix, by name.
+func (m *Mirror) Below(prefix string) []pollendoor.Object {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []pollendoor.Object
+	for n, e := range m.objects {
+		if strings.HasPrefix(n, prefix) {
+			list = append(list, e.object)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
--- /dev/null
+++ b/tree/settings.go
@@ -0,0 +1,128 @@
+package tree
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+
+	"github.com/pollendoor/pollendoor"
+)
+
+// Duration is a time.Duration that is written as text, such as 500ms.
+type Duration time.Duration
+
+// UnmarshalYAML reads a duration in text. Its errors show line and column.
+func (d *Duration) UnmarshalYAML(n ast.Node) error {
+	text := n.GetToken().Value
+	v, err := time.ParseDuration(text)
+	if err != nil {
+		return &yaml.SyntaxError{Message: fmt.Sprintf("wants a duration such as 500ms or 2s, got %q", text), Token: n.GetToken()}
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// MarshalYAML writes the duration as text.
+func (d Duration) MarshalYAML() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// Settings is what one branch sets. A field that is nil is inherited.
+type Settings struct {
+	// Routes.
+	Group   *string             `yaml:"group,omitempty"`   // database group; the route's name if unset
+	Open    *bool               `yaml:"open,omitempty"`    // no key needed
+	Timeout *Duration           `yaml:"timeout,omitempty"` // longest time of a statement
+	MaxAge  *Duration           `yaml:"maxAge,omitempty"`  // age that reads accept; 0s for any
+	Ack     *pollendoor.AckRule `yaml:"ack,omitempty"`
+
+	// Teams.
+	Rate   *float64  `yaml:"rate,omitempty"`  // statements a second over all VMs
+	Burst  *float64  `yaml:"burst,omitempty"` // statements at once over all VMs
+	Weight *float64  `yaml:"weight,omitempty"`
+	Batch  *bool     `yaml:"batch,omitempty"`
+	Routes *[]string `yaml:"routes,omitempty"` // route names, or prefixes ending in /
+
+	// Keys.
+	KeyStaleness *Duration `yaml:"keyStaleness,omitempty"` // age of key data that is still relied on
+
+	// Service-level objectives.
+	Objective *float64  `yaml:"objective,omitempty"` // share of good statements, below 1
+	Late      *Duration `yaml:"late,omitempty"`      // a slower statement is not good
+}
+
+// Decode reads the settings of one branch. A field that is unknown or does not
+// fit is an error that shows line and column.
+func Decode(text []byte) (Settings, error) {
+	var s Settings
+	if len(bytes.TrimSpace(text)) == 0 {
+		return s, nil
+	}
+	if err := yaml.UnmarshalWithOptions(text, &s, yaml.Strict()); err != nil {
+		return s, errors.Newf("%s", yaml.FormatError(err, false, true))
+	}
+	return s, nil
+}
+
+// defaults are the settings above the root.
+func defaults() Settings {
+	timeout, maxAge, stale, late := Duration(10*time.Second), Duration(0), Duration(10*time.Second), Duration(time.Second)
+	ack, open, batch := pollendoor.AckReplicated, false, false
+	rate, burst, weight, objective := 100.0, 200.0, 1.0, 0.999
+	routes := []string{}
+	return Settings{
+		Open: &open, Timeout: &timeout, MaxAge: &maxAge, Ack: &ack,
+		Rate: &rate, Burst: &burst, Weight: &weight, Batch: &batch, Routes: &routes,
+		KeyStaleness: &stale, Objective: &objective, Late: &late,
+	}
+}
+
+// over returns a with the fields that b sets put over it.
+func over(a, b Settings) Settings {
+	a.Group = pick(b.Group, a.Group)
+	a.Open = pick(b.Open, a.Open)
+	a.Timeout = pick(b.Timeout, a.Timeout)
+	a.MaxAge = pick(b.MaxAge, a.MaxAge)
+	a.Ack = pick(b.Ack, a.Ack)
+	a.Rate = pick(b.Rate, a.Rate)
+	a.Burst = pick(b.Burst, a.Burst)
+	a.Weight = pick(b.Weight, a.Weight)
+	a.Batch = pick(b.Batch, a.Batch)
+	a.Routes = pick(b.Routes, a.Routes)
+	a.KeyStaleness = pick(b.KeyStaleness, a.KeyStaleness)
+	a.Objective = pick(b.Objective, a.Objective)
+	a.Late = pick(b.Late, a.Late)
+	return a
+}
+
+func pick[T any](own, inherited *T) *T {
+	if own != nil {
+		return own
+	}
+	return inherited
+}
+
+// check tells what is wrong with resolved settings.
+func check(s Settings) error {
+	switch {
+	case *s.Timeout < 0:
+		return errors.New("timeout must not be negative")
+	case *s.MaxAge < 0:
+		return errors.New("maxAge must not be negative")
+	case *s.Ack != pollendoor.AckReplicated && *s.Ack != pollendoor.AckBlind:
+		return errors.Newf("ack is replicated or blind, not %q", *s.Ack)
+	case *s.Rate <= 0:
+		return errors.New("rate must be above zero")
+	case *s.Burst < 1:
+		return errors.New("burst must be at least 1")
+	case *s.Weight <= 0:
+		return errors.New("weight must be above zero")
+	case *s.KeyStaleness < Duration(time.Second):
+		return errors.New("keyStaleness must be at least 1s")
+	case *s.Objective <= 0 || *s.Objective >= 1:
+		return errors.New("objective must be between 0 and 1")
+	}
+	return nil
+}
