--- /dev/null
+++ b/access/access.go
@@ -0,0 +1,262 @@
+// Package access decides who may come in and how much they may do, from the
+// VM's copies of settings and keys and its shares of the teams' allowances.
+//
+// What a statement needs is compiled into an immutable snapshot when settings
+// or keys change, and read without locks.
+package access
+
+import (
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/burn"
+	"github.com/pollendoor/pollendoor/escrow"
+	"github.com/pollendoor/pollendoor/keys"
+	"github.com/pollendoor/pollendoor/mirror"
+	"github.com/pollendoor/pollendoor/tree"
+)
+
+// The branches below which routes and teams are.
+const (
+	services = "/services/"
+	teams    = "/teams/"
+)
+
+// Guard is a pollendoor.Access over the VM's copies. It is safe for use by
+// several goroutines.
+type Guard struct {
+	Mirror *mirror.Mirror
+	Take   func(team string, n int) (time.Duration, bool)
+	Zones  func() []keys.Zone // what other zones know, for old key data
+	Burn   *burn.Book
+	Log    zerolog.Logger
+
+	snap    atomic.Pointer[snapshot]
+	mu      sync.Mutex
+	changed chan struct{}
+}
+
+var _ pollendoor.Access = (*Guard)(nil)
+
+// snapshot is all that a statement needs to know. It is replaced, never
+// changed.
+type snapshot struct {
+	tree        *tree.Tree
+	routes      map[string]route
+	teams       map[string]team
+	fingerprint uint64 // of the key objects
+	settings    uint64 // of the branch versions
+	allowances  map[string]escrow.Allowance
+}
+
+type route struct {
+	policy pollendoor.Policy
+	open   bool
+	stale  time.Duration
+}
+
+type team struct {
+	ring   keys.Ring
+	routes []string
+	weight float64
+	batch  bool
+	late   time.Duration
+	goal   float64
+}
+
+// Refresh compiles the snapshot anew. It is called whenever the copies change.
+func (g *Guard) Refresh() {
+	old := g.snap.Load()
+	var base *tree.Tree
+	if old != nil {
+		base = old.tree
+	}
+	t, err := base.With(g.Mirror.Below(tree.Prefix + "/"))
+	if err != nil {
+		g.Log.Error().Err(err).Msg("a branch can't be read, it stays as it was")
+	}
+	s := &snapshot{tree: t, routes: make(map[string]route), teams: make(map[string]team), allowances: make(map[string]escrow.Allowance)}
+	h, hs := xxhash.New(), xxhash.New()
+	for _, p := range t.Paths() {
+		set, _ := t.At(p)
+		if name, ok := strings.CutPrefix(p, services); ok && strings.Contains(name, "/") {
+			s.routes[name] = compileRoute(name, set)
+		}
+		if name, ok := strings.CutPrefix(p, teams); ok {
+			s.teams[name] = g.compileTeam(name, set, h)
+			s.allowances[name] = escrow.Allowance{Rate: *set.Rate, Burst: *set.Burst}
+			g.Burn.Objective(name, *set.Objective, time.Duration(*set.Late))
+		}
+		_, v := t.Branch(p)
+		writeVersion(hs, p, v)
+	}
+	s.fingerprint, s.settings = h.Sum64(), hs.Sum64()
+	g.snap.Store(s)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.changed != nil {
+		close(g.changed)
+		g.changed = nil
+	}
+}
+
+func writeVersion(h *xxhash.Digest, name string, v uint64) {
+	h.WriteString(name)
+	var b [8]byte
+	for i := range b {
+		b[i] = byte(v >> (8 * i))
+	}
+	h.Write(b[:])
+}
+
+func compileRoute(name string, set tree.Settings) route {
+	r := route{
+		policy: pollendoor.Policy{
+			Group:   name,
+			Timeout: time.Duration(*set.Timeout),
+			MaxAge:  time.Duration(*set.MaxAge),
+			Ack:     *set.Ack,
+		},
+		open:  *set.Open,
+		stale: time.Duration(*set.KeyStaleness),
+	}
+	if set.Group != nil {
+		r.policy.Group = *set.Group
+	}
+	return r
+}
+
+func (g *Guard) compileTeam(name string, set tree.Settings, h *xxhash.Digest) team {
+	o := g.Mirror.Get(keys.Prefix + name)
+	ring, err := keys.Decode(o)
+	if err != nil {
+		g.Log.Error().Err(err).Str("team", name).Msg("keys can't be read, the team has none")
+	}
+	writeVersion(h, name, o.Version)
+	return team{ring: ring, routes: *set.Routes, weight: *set.Weight, batch: *set.Batch, late: time.Duration(*set.Late), goal: *set.Objective}
+}
+
+func (g *Guard) load() *snapshot {
+	if s := g.snap.Load(); s != nil {
+		return s
+	}
+	return &snapshot{}
+}
+
+// Tree returns the settings in force on this VM.
+func (g *Guard) Tree() *tree.Tree { return g.load().tree }
+
+// Fingerprints returns those of the key objects and of the settings in force.
+func (g *Guard) Fingerprints() (keyObjects, settings uint64) {
+	s := g.load()
+	return s.fingerprint, s.settings
+}
+
+// Allowances returns the teams' rates and bursts in force.
+func (g *Guard) Allowances() map[string]escrow.Allowance { return g.load().allowances }
+
+// Changed returns a channel that is closed when settings or keys change.
+func (g *Guard) Changed() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.changed == nil {
+		g.changed = make(chan struct{})
+	}
+	return g.changed
+}
+
+func badKey(cause string) *pollendoor.Refusal {
+	return pollendoor.Refuse(pollendoor.CodeBadKey, "key authentication failed", cause)
+}
+
+// Login checks a caller's key for a route. An empty user asks whether the route
+// needs one.
+func (g *Guard) Login(name, user, secret string) (pollendoor.Grant, *pollendoor.Refusal) {
+	s := g.load()
+	r, ok := s.routes[name]
+	if !ok {
+		return pollendoor.Grant{}, pollendoor.Refuse(pollendoor.CodeNoRoute, "route "+name+" does not exist", "")
+	}
+	if r.open {
+		return pollendoor.Grant{Route: name}, nil
+	}
+	teamName, id, ok := keys.SplitUser(user)
+	if !ok {
+		return pollendoor.Grant{}, badKey("the user is the team and the key's id, with a point between them")
+	}
+	t, ok := s.teams[teamName]
+	if !ok || !t.ring.Matches(id, secret) {
+		return pollendoor.Grant{}, badKey("")
+	}
+	grant := pollendoor.Grant{Team: teamName, KeyID: id, Route: name}
+	_, refusal := g.Check(grant)
+	return grant, refusal
+}
+
+// Check tells whether a grant still holds, and the policy in force.
+func (g *Guard) Check(grant pollendoor.Grant) (pollendoor.Policy, *pollendoor.Refusal) {
+	s := g.load()
+	r, ok := s.routes[grant.Route]
+	if !ok {
+		return pollendoor.Policy{}, pollendoor.Refuse(pollendoor.CodeNoRoute, "route "+grant.Route+" does not exist", "")
+	}
+	p := r.policy
+	if grant.Team == "" {
+		if !r.open {
+			return p, badKey("the route is no longer open")
+		}
+		return p, nil
+	}
+	t, ok := s.teams[grant.Team]
+	if !ok || !t.ring.Live(grant.KeyID) {
+		return p, badKey("the key was withdrawn")
+	}
+	if !allows(t.routes, grant.Route) {
+		return p, pollendoor.Refuse(pollendoor.CodeDenied, "team "+grant.Team+" may not use route "+grant.Route, "")
+	}
+	if !keys.Reliable(g.Mirror.AsOf(), r.stale, nil, time.Now()) && !keys.Reliable(g.Mirror.AsOf(), r.stale, g.Zones(), time.Now()) {
+		return p, pollendoor.Refuse(pollendoor.CodeNoPrimary, "key data on this VM is too old", "the platform and other zones do not answer")
+	}
+	p.Weight, p.Batch = t.weight, t.batch
+	return p, nil
+}
+
+// allows reports whether a team's routes include one: by name, or by a prefix
+// that ends in a slash.
+func allows(list []string, name string) bool {
+	for _, r := range list {
+		if r == name || strings.HasSuffix(r, "/") && strings.HasPrefix(name, r) {
+			return true
+		}
+	}
+	return false
+}
+
+// Admit takes n statements out of the team's rate, waiting for a moment if they
+// are about to be free. Open routes have no rate.
+func (g *Guard) Admit(grant pollendoor.Grant, n int) *pollendoor.Refusal {
+	if grant.Team == "" {
+		return nil
+	}
+	wait, ok := g.Take(grant.Team, n)
+	if !ok {
+		return pollendoor.Refuse(pollendoor.CodeRateExceeded, "team "+grant.Team+" is over its rate", "")
+	}
+	if wait > 0 {
+		time.Sleep(wait)
+	}
+	return nil
+}
+
+// Report notes the outcome of a statement.
+func (g *Guard) Report(grant pollendoor.Grant, o pollendoor.Observation) {
+	if grant.Team != "" {
+		g.Burn.Note(grant.Team, o, time.Now())
+	}
+}
--- /dev/null
+++ b/burn/burn_test.go
@@ -0,0 +1,30 @@
+package burn_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/burn"
+)
+
+func ExampleReport() {
+	var b burn.Book
+	now := time.Unix(1000, 0)
+	b.Objective("surveyors", 0.9, time.Second)
+	for i := range 10 {
+		o := pollendoor.Observation{Latency: time.Millisecond}
+		if i < 2 {
+			o.Latency = 3 * time.Second // late
+		}
+		b.Note("surveyors", o, now)
+	}
+	b.Note("surveyors", pollendoor.Observation{Code: pollendoor.CodeRateExceeded}, now) // its own doing
+	raw, _ := b.Summary("vm1")
+	var s burn.Summary
+	_ = json.Unmarshal(raw, &s)
+	r := burn.Report([]burn.Summary{s}, now)[0]
+	fmt.Printf("%s %d late of %d, burn %.0f\n", r.Team, r.Count.Late, r.Count.Good+r.Count.Bad(), r.Burn)
+	// Output: surveyors 2 late of 10, burn 2
+}
--- a/home/group.go
+++ b/home/group.go
@@ -46,6 +46,7 @@
 	since   time.Time
 	view    atomic.Pointer[view]
 	waiters atomic.Int64 // writes and reads that wait for a status
+	used    atomic.Int64 // unix ns of the last exchange run here
 
 	mu      sync.Mutex
 	update  chan struct{} // closed at every new status or record
@@ -66,6 +67,18 @@
 	return g
 }
 
+// activeFor is how long a VM that is no home keeps watching a group after an
+// exchange was run there.
+const activeFor = 10 * time.Second
+
+// active reports whether this VM keeps connections to the group's targets.
+func (g *Group) active(now time.Time) bool {
+	if _, home := g.host.opt.Rank(g.name); home {
+		return true
+	}
+	return now.Sub(time.Unix(0, g.used.Load())) < activeFor
+}
+
 // apply takes a record unless the one here is newer, and starts or stops
 // watching targets that came or went.
 func (g *Group) apply(rec pollendoor.GroupRecord, version uint64) {
--- a/home/host.go
+++ b/home/host.go
@@ -163,8 +163,7 @@
 	return &Link{group: g}, nil
 }
 
-// Ready reports whether every group of which this VM is a home has a target
-// that was seen.
+// Ready returns an error until every group serves.
 func (h *Host) Ready() error {
 	groups := *h.groups.Load()
 	if len(groups) == 0 {
--- a/home/link.go
+++ b/home/link.go
@@ -69,6 +69,7 @@
 func (l *Link) Run(ctx context.Context, x *pollendoor.Exchange, sink pollendoor.Sink) pollendoor.Answer {
 	ctx, cancel := context.WithTimeout(ctx, x.Timeout)
 	defer cancel()
+	l.group.used.Store(time.Now().UnixNano())
 	r := &pool.Reply{Limit: spillAt, Spill: sink}
 	var a pollendoor.Answer
 	if l.pin != nil {
--- a/home/member.go
+++ b/home/member.go
@@ -75,6 +75,11 @@
 	trimmed, last := time.Now(), time.Now()
 	for ctx.Err() == nil {
 		asked := time.Now()
+		if !m.group.active(asked) {
+			m.idle(ctx)
+			last = time.Now()
+			continue
+		}
 		if m.ask(ctx, asked) != nil {
 			m.pool.Drop()
 			if time.Since(last) > group.SuspectAfter {
@@ -96,6 +101,20 @@
 	m.admin.Close()
 }
 
+// idle drops all connections and waits a little, or until an exchange comes.
+func (m *member) idle(ctx context.Context) {
+	m.pool.Drop()
+	m.control.Close()
+	m.admin.Close()
+	t := time.NewTimer(statusEvery)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-m.group.kicked():
+	}
+}
+
 func (m *member) ask(ctx context.Context, asked time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
--- /dev/null
+++ b/peers/serve.go
@@ -0,0 +1,120 @@
+package peers
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc"
+
+	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/limit"
+)
+
+// HandleRPC serves one call of a peer.
+func (f *Fleet) HandleRPC(stream drpc.Stream, rpc string) error {
+	switch rpc {
+	case rpcBeat:
+		return unary(stream, func(b *Beat) (any, error) {
+			if f.opt.Cut != nil && f.opt.Cut(b.Peer) {
+				return nil, errors.New("peer is cut off")
+			}
+			f.heard(*b)
+			a := f.beat()
+			return &a, nil
+		})
+	case rpcPull:
+		return unary(stream, func(r *pullRequest) (any, error) { return f.servePull(r), nil })
+	case rpcTransfer:
+		return unary(stream, func(t *limit.Transfer) (any, error) {
+			return &transferAnswer{Settled: f.opt.Transfer != nil && f.opt.Transfer(*t)}, nil
+		})
+	case rpcCancel:
+		return unary(stream, func(r *cancelRequest) (any, error) {
+			if c, ok := f.running.Load(r.ID); ok {
+				c.(context.CancelFunc)()
+			}
+			return &empty{}, nil
+		})
+	case rpcForward:
+		return f.serveLane(stream)
+	}
+	return errors.Newf("call %q is not known", rpc)
+}
+
+func unary[T any](stream drpc.Stream, serve func(*T) (any, error)) error {
+	var in T
+	if err := stream.MsgRecv(&in, enc); err != nil {
+		return err
+	}
+	out, err := serve(&in)
+	if err != nil {
+		return err
+	}
+	return stream.MsgSend(out, enc)
+}
+
+func (f *Fleet) servePull(r *pullRequest) *pullAnswer {
+	changed := f.opt.Mirror.Changed()
+	list, seq, asOf := f.opt.Mirror.Since(r.Seq)
+	if len(list) == 0 && r.WaitMS > 0 {
+		t := time.NewTimer(min(time.Duration(r.WaitMS)*time.Millisecond, pullWait))
+		select {
+		case <-changed:
+		case <-t.C:
+		case <-f.ctx.Done():
+		}
+		t.Stop()
+		list, seq, asOf = f.opt.Mirror.Since(r.Seq)
+	}
+	a := &pullAnswer{Seq: seq, Run: f.opt.ID, AgeMS: -1, Objects: list}
+	if !asOf.IsZero() {
+		// Rounded up: the copy is at most this old.
+		a.AgeMS = time.Since(asOf).Milliseconds() + 1
+	}
+	return a
+}
+
+// serveLane runs the exchanges that a peer forwards, one after the other.
+func (f *Fleet) serveLane(stream drpc.Stream) error {
+	var link pollendoor.Link
+	defer func() {
+		if link != nil {
+			link.Close()
+		}
+	}()
+	for {
+		var r forwardRequest
+		if err := stream.MsgRecv(&r, enc); err != nil {
+			return nil // the lane ended
+		}
+		if link == nil {
+			l, refusal := f.opt.Runner.Open(r.Exchange.Group)
+			if refusal != nil {
+				if err := stream.MsgSend(&forwardAnswer{Final: &pollendoor.Answer{Refusal: refusal}}, enc); err != nil {
+					return err
+				}
+				continue
+			}
+			link = l
+		}
+		a := f.runForwarded(stream, link, &r)
+		if err := stream.MsgSend(&forwardAnswer{Final: &a}, enc); err != nil {
+			return err
+		}
+		if a.TxStatus != 'T' && a.TxStatus != 'E' {
+			link.Close()
+			link = nil // the next exchange may be of another group
+		}
+	}
+}
+
+func (f *Fleet) runForwarded(stream drpc.Stream, link pollendoor.Link, r *forwardRequest) pollendoor.Answer {
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	f.running.Store(r.ID, cancel)
+	defer f.running.Delete(r.ID)
+	return link.Run(ctx, &r.Exchange, func(frames []byte) error {
+		return stream.MsgSend(&forwardAnswer{Frames: frames}, enc)
+	})
+}
--- /dev/null
+++ b/peers/view.go
@@ -0,0 +1,171 @@
+package peers
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pollendoor/pollendoor"
+)
+
+const (
+	// HeardFresh is how old a heartbeat may be before its sender is suspect.
+	HeardFresh = 1500 * time.Millisecond
+	// newcomer is how long a VM new in the list may be silent.
+	newcomer = 2 * time.Second
+	// HomesPerZone is how many VMs of each zone are homes of a group.
+	HomesPerZone = 1
+	// fullMesh is the fleet up to which each VM beats to every other.
+	fullMesh = 24
+	// zoneNeighbors is how many VMs of its own zone a VM of a larger fleet beats
+	// to, and farNeighbors how many of each other zone.
+	zoneNeighbors = 8
+	farNeighbors  = 2
+)
+
+// Member is one VM as another one knows it.
+type Member struct {
+	pollendoor.VM
+	ID     string    // of its process, empty until heard
+	Listed time.Time // since when the list has it
+	Heard  time.Time // newest heartbeat
+	Beat   Beat      // what it said
+}
+
+// live reports whether a member may be chosen for work.
+func (m Member) live(neighbor bool, now time.Time) bool {
+	if m.Leaving || m.Beat.Draining {
+		return false
+	}
+	return !neighbor || now.Sub(m.Heard) <= HeardFresh || now.Sub(m.Listed) <= newcomer
+}
+
+// View is what one VM knows of the fleet at a moment. It is immutable.
+type View struct {
+	Self    pollendoor.VM
+	Members map[string]Member // by name, without Self
+	At      time.Time
+	Drained bool // this VM is leaving
+	SelfID  string
+	Listed  map[string]bool // VMs that the list has ever had, shared
+	Since   time.Time       // when the list was first read, zero for never
+	InList  bool            // the list has this VM
+}
+
+func score(name, key string) uint64 { return xxhash.Sum64String(name + "\x00" + key) }
+
+// Ranked returns the live VMs of each zone, by rendezvous score for key.
+func (v *View) ranked(key string, now time.Time) map[string][]pollendoor.VM {
+	near := v.neighbors()
+	zones := make(map[string][]pollendoor.VM)
+	if !v.Drained {
+		zones[v.Self.Zone] = append(zones[v.Self.Zone], v.Self)
+	}
+	for n, m := range v.Members {
+		if m.live(near[n], now) {
+			zones[m.Zone] = append(zones[m.Zone], m.VM)
+		}
+	}
+	for _, list := range zones {
+		sort.Slice(list, func(i, j int) bool { return score(list[i].Name, key) > score(list[j].Name, key) })
+	}
+	return zones
+}
+
+// Homes returns the VMs that are homes of a group, best first: the first of
+// each zone by rendezvous score.
+func (v *View) Homes(group string, now time.Time) []pollendoor.VM {
+	var list []pollendoor.VM
+	for _, z := range v.ranked(group, now) {
+		list = append(list, z[:min(HomesPerZone, len(z))]...)
+	}
+	sort.Slice(list, func(i, j int) bool { return score(list[i].Name, group) > score(list[j].Name, group) })
+	return list
+}
+
+// watchersPerZone is how many VMs of each zone watch the platform's store.
+const watchersPerZone = 2
+
+// Watchers returns the VMs that watch the store, by zone.
+func (v *View) Watchers(now time.Time) map[string][]pollendoor.VM {
+	zones := v.ranked("watchers", now)
+	for z, list := range zones {
+		zones[z] = list[:min(watchersPerZone, len(list))]
+	}
+	return zones
+}
+
+// Watches reports whether this VM is one of its zone's watchers.
+func (v *View) Watches(now time.Time) bool {
+	for _, w := range v.Watchers(now)[v.Self.Zone] {
+		if w.Name == v.Self.Name {
+			return true
+		}
+	}
+	return v.Drained
+}
+
+// neighbors returns the names of the VMs that this one beats to: all of a small
+// fleet, else the next ones on the ring of its own zone and a few of each other.
+func (v *View) neighbors() map[string]bool {
+	set := make(map[string]bool)
+	if len(v.Members) <= fullMesh {
+		for n := range v.Members {
+			set[n] = true
+		}
+		return set
+	}
+	zones := make(map[string][]string)
+	for n, m := range v.Members {
+		zones[m.Zone] = append(zones[m.Zone], n)
+	}
+	for z, names := range zones {
+		sort.Strings(names)
+		want := farNeighbors
+		if z == v.Self.Zone {
+			want = zoneNeighbors
+		}
+		start := sort.Search(len(names), func(i int) bool { return names[i] > v.Self.Name })
+		if z != v.Self.Zone {
+			start = int(score(v.Self.Name, z) % uint64(len(names)))
+		}
+		for i := range min(want, len(names)) {
+			set[names[(start+i)%len(names)]] = true
+		}
+	}
+	return set
+}
+
+// Zones returns the zones of the list, with this VM's.
+func (v *View) Zones() []string {
+	set := map[string]bool{v.Self.Zone: true}
+	for _, m := range v.Members {
+		set[m.Zone] = true
+	}
+	var list []string
+	for z := range set {
+		list = append(list, z)
+	}
+	sort.Strings(list)
+	return list
+}
+
+// goneAfter is how long a VM that this one never saw in the list must be missing
+// from it to be taken for ended.
+const goneAfter = 60 * time.Second
+
+// Gone reports whether a process has certainly ended: the list had its VM and no
+// longer does, or its VM answers as another process. A VM that the list never
+// had may be too new for it.
+func (v *View) Gone(id string) bool {
+	name, _, _ := strings.Cut(id, "#")
+	if name == v.Self.Name {
+		return id != v.SelfID
+	}
+	if m, ok := v.Members[name]; ok {
+		return m.ID != "" && m.ID != id
+	}
+	return v.Listed[name] || !v.Since.IsZero() && v.At.Sub(v.Since) > goneAfter
+}
--- /dev/null
+++ b/peers/wire.go
@@ -0,0 +1,161 @@
+package peers
+
+import (
+	"context"
+	"crypto/ed25519"
+	"crypto/hkdf"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"math/big"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/pollendoor/pollendoor/pgwire"
+)
+
+// encoding carries the messages between VMs as CBOR.
+type encoding struct{}
+
+// Marshal encodes a message.
+func (encoding) Marshal(m drpc.Message) ([]byte, error) { return cbor.Marshal(m) }
+
+// Unmarshal decodes a message.
+func (encoding) Unmarshal(b []byte, m drpc.Message) error { return cbor.Unmarshal(b, m) }
+
+var enc encoding
+
+// managerOptions let a whole batch of a caller through in one message.
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: 3 * pgwire.MaxMessage}}
+}
+
+// certLife is how long a certificate of the VMs is valid.
+const certLife = 10 * 365 * 24 * time.Hour
+
+// Secure returns the TLS settings of both ends for a secret shared by all VMs.
+func Secure(secret string) (*tls.Config, error) {
+	if len(secret) < 16 {
+		return nil, errors.New("the peers' secret must have at least 16 characters")
+	}
+	seed, err := hkdf.Key(sha256.New, []byte(secret), nil, "pollendoor peers", ed25519.SeedSize)
+	if err != nil {
+		return nil, errors.Wrap(err, "peers' key")
+	}
+	key := ed25519.NewKeyFromSeed(seed)
+	now := time.Now()
+	t := &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		Subject:      pkix.Name{CommonName: "pollendoor"},
+		NotBefore:    now.Add(-time.Hour),
+		NotAfter:     now.Add(certLife),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, t, t, key.Public(), key)
+	if err != nil {
+		return nil, errors.Wrap(err, "peers' certificate")
+	}
+	own := key.Public().(ed25519.PublicKey)
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}},
+		ClientAuth:   tls.RequireAnyClientCert,
+		// There is no authority to verify: the peer must own the same key, which
+		// the handshake proves.
+		InsecureSkipVerify: true,
+		VerifyPeerCertificate: func(raw [][]byte, _ [][]*x509.Certificate) error {
+			c, err := x509.ParseCertificate(raw[0])
+			if err != nil {
+				return errors.Wrap(err, "peer's certificate")
+			}
+			if k, ok := c.PublicKey.(ed25519.PublicKey); !ok || !own.Equal(k) {
+				return errors.New("peer does not know the shared secret")
+			}
+			return nil
+		},
+	}, nil
+}
+
+// maxIdle bounds the idle connections kept to one peer.
+const maxIdle = 16
+
+// dialer keeps connections to peers. A connection carries one call at a time.
+type dialer struct {
+	tls *tls.Config
+	cut func(addr string) bool // whether a peer is out of reach, for tests
+
+	mu   sync.Mutex
+	idle map[string][]*drpcconn.Conn
+}
+
+func (d *dialer) get(ctx context.Context, addr string) (*drpcconn.Conn, bool, error) {
+	if d.cut != nil && d.cut(addr) {
+		return nil, false, errors.New("peer is cut off")
+	}
+	d.mu.Lock()
+	for list := d.idle[addr]; len(list) > 0; list = d.idle[addr] {
+		c := list[len(list)-1]
+		d.idle[addr] = list[:len(list)-1]
+		select {
+		case <-c.Closed():
+			continue
+		default:
+		}
+		d.mu.Unlock()
+		return c, true, nil
+	}
+	d.mu.Unlock()
+	nd := &tls.Dialer{NetDialer: &net.Dialer{}, Config: d.tls}
+	n, err := nd.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, false, errors.Wrap(err, "dial peer")
+	}
+	return drpcconn.NewWithOptions(n, drpcconn.Options{Manager: managerOptions()}), false, nil
+}
+
+func (d *dialer) put(addr string, c *drpcconn.Conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.idle == nil {
+		d.idle = make(map[string][]*drpcconn.Conn)
+	}
+	if len(d.idle[addr]) >= maxIdle || d.cut != nil && d.cut(addr) {
+		c.Close()
+		return
+	}
+	d.idle[addr] = append(d.idle[addr], c)
+}
+
+// invoke makes one call.
+func (d *dialer) invoke(ctx context.Context, addr, rpc string, in, out drpc.Message) error {
+	c, _, err := d.get(ctx, addr)
+	if err != nil {
+		return err
+	}
+	if err := c.Invoke(ctx, rpc, enc, in, out); err != nil {
+		c.Close()
+		return errors.Wrapf(err, "call %s", rpc)
+	}
+	d.put(addr, c)
+	return nil
+}
+
+func (d *dialer) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, list := range d.idle {
+		for _, c := range list {
+			c.Close()
+		}
+	}
+	d.idle = nil
+}
