node, bench: a fleet in one process

Cause of the first failure: an identity with a # in an object's name was cut off as a URL fragment, so no VM could write down what it held and no team got its allowance. Change: the store's client escapes names. Before: every team was over its rate for ever.

--- /dev/null
+++ b/bench/lab.go
@@ -0,0 +1,304 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5"
+	"github.com/rs/zerolog"
+
+	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/fakes"
+	"github.com/pollendoor/pollendoor/node"
+	"github.com/pollendoor/pollendoor/store"
+	"github.com/pollendoor/pollendoor/tree"
+)
+
+// The credentials of the stand-ins.
+const (
+	targetUser     = "system"
+	targetPassword = "target-password"
+	peerSecret     = "a secret of the stand-in fleet"
+)
+
+// readyTimeout bounds the start of a lab.
+const readyTimeout = 30 * time.Second
+
+// Team is one tenant of a lab.
+type Team struct {
+	Name   string
+	Rate   float64 // statements a second
+	Burst  float64
+	Weight float64
+	Batch  bool
+}
+
+// LabOptions says what a lab is made of. The zero value is one VM and one group
+// in each of three zones, with one team.
+type LabOptions struct {
+	Zones       []string
+	VMsPerZone  int
+	Groups      []string // route names, such as potes/potes-1
+	Teams       []Team
+	Target      fakes.TargetOptions
+	Connections int    // of one VM to one target
+	Settings    string // of the root branch
+	Open        bool   // routes take callers without keys
+	Log         zerolog.Logger
+}
+
+func (o *LabOptions) fill() {
+	if len(o.Zones) == 0 {
+		o.Zones = []string{"lisboa-a", "porto-a", "faro-a"}
+	}
+	if o.VMsPerZone == 0 {
+		o.VMsPerZone = 1
+	}
+	if len(o.Groups) == 0 {
+		o.Groups = []string{"potes/potes-1"}
+	}
+	if len(o.Teams) == 0 {
+		o.Teams = []Team{{Name: "festa", Rate: 1e6, Burst: 1e6}}
+	}
+	if o.Connections == 0 {
+		o.Connections = 6
+	}
+	o.Target.User, o.Target.Password = targetUser, targetPassword
+}
+
+// Lab is a platform, groups and a fleet in one process.
+type Lab struct {
+	Options  LabOptions
+	Platform *fakes.Platform
+	Groups   map[string]*fakes.Group
+	Secrets  map[string]string // by team; the key's id is k1
+
+	mu    sync.Mutex
+	nodes []*node.Node // nil where stopped
+	made  int
+	cuts  atomic.Pointer[map[string]bool] // zones that are cut off
+	zones sync.Map                        // peer address to zone
+}
+
+// StartLab starts a lab and waits until it serves.
+func StartLab(ctx context.Context, o LabOptions) (*Lab, error) {
+	o.fill()
+	l := &Lab{Options: o, Platform: &fakes.Platform{}, Groups: make(map[string]*fakes.Group), Secrets: make(map[string]string)}
+	l.cuts.Store(&map[string]bool{})
+	if err := l.Platform.Start(""); err != nil {
+		return nil, err
+	}
+	if err := l.setUp(ctx); err != nil {
+		l.Stop()
+		return nil, err
+	}
+	return l, nil
+}
+
+func (l *Lab) setUp(ctx context.Context) error {
+	s := &store.Client{Base: l.Platform.Addr()}
+	edits := []tree.Edit{{Path: "/", YAML: l.Options.Settings}}
+	for _, name := range l.Options.Groups {
+		g, err := fakes.StartGroup(name, l.Options.Zones, l.Options.Target)
+		if err != nil {
+			return err
+		}
+		l.Groups[name] = g
+		if err := g.Register(ctx, s); err != nil {
+			return err
+		}
+		edits = append(edits, tree.Edit{Path: "/services/" + name, YAML: fmt.Sprintf("open: %v", l.Options.Open)})
+	}
+	for _, t := range l.Options.Teams {
+		text := fmt.Sprintf("rate: %v\nburst: %v\nweight: %v\nbatch: %v\nroutes: [%s]\n", t.Rate, t.Burst, max(t.Weight, 1), t.Batch, l.prefixes())
+		edits = append(edits, tree.Edit{Path: "/teams/" + t.Name, YAML: text})
+	}
+	for _, e := range edits {
+		e.By = "lab"
+		if _, err := tree.Accept(ctx, s, e); err != nil {
+			return errors.Wrapf(err, "branch %s", e.Path)
+		}
+	}
+	for range l.Options.VMsPerZone {
+		for _, z := range l.Options.Zones {
+			if _, err := l.AddVM(z); err != nil {
+				return err
+			}
+		}
+	}
+	if err := l.WaitReady(ctx); err != nil {
+		return err
+	}
+	return l.createKeys(ctx)
+}
+
+func (l *Lab) prefixes() string {
+	set := map[string]bool{}
+	var list []string
+	for _, g := range l.Options.Groups {
+		p, _, _ := strings.Cut(g, "/")
+		if !set[p] {
+			set[p] = true
+			list = append(list, p+"/")
+		}
+	}
+	return strings.Join(list, ", ")
+}
+
+func (l *Lab) createKeys(ctx context.Context) error {
+	for _, t := range l.Options.Teams {
+		a, err := l.Nodes()[0].CreateKey(ctx, node.KeyRequest{Team: t.Name, ID: "k1", By: "lab"})
+		if err != nil {
+			return err
+		}
+		l.Secrets[t.Name] = a.Secret
+	}
+	// The keys are known everywhere once every VM lets each team in.
+	for _, t := range l.Options.Teams {
+		for i := range l.Nodes() {
+			if err := l.tryLogin(ctx, i, t.Name); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (l *Lab) tryLogin(ctx context.Context, vm int, team string) error {
+	var err error
+	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		var c *pgx.Conn
+		if c, err = pgx.Connect(ctx, l.URL(vm, team, l.Options.Groups[0])); err == nil {
+			_, err = c.Exec(ctx, "SELECT 1")
+			c.Close(ctx)
+		}
+		if err == nil {
+			return nil
+		}
+	}
+	return errors.Wrap(err, "the lab does not let its teams in")
+}
+
+// AddVM starts one more VM in a zone and lists it.
+func (l *Lab) AddVM(zone string) (*node.Node, error) {
+	l.mu.Lock()
+	l.made++
+	name := fmt.Sprintf("vm-%d-%s", l.made, zone)
+	l.mu.Unlock()
+	n, err := node.Start(node.Options{
+		VM:     pollendoor.VM{Name: name, Zone: zone},
+		Listen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", AdminListen: "127.0.0.1:0",
+		Store:      &store.Client{Base: l.Platform.Addr(), VM: name},
+		PeerSecret: peerSecret, User: targetUser, Password: targetPassword,
+		Connections: l.Options.Connections,
+		Cut:         func(addr string) bool { return l.cutPeers(zone, addr) },
+		Log:         l.Options.Log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	l.zones.Store(n.PeerVM().Peer, zone)
+	l.mu.Lock()
+	l.nodes = append(l.nodes, n)
+	l.mu.Unlock()
+	l.list()
+	return n, nil
+}
+
+// cutPeers reports whether a VM of zone can't reach the peer at addr.
+func (l *Lab) cutPeers(zone, addr string) bool {
+	cuts := *l.cuts.Load()
+	other, ok := l.zones.Load(addr)
+	return ok && other != zone && (cuts[zone] || cuts[other.(string)])
+}
+
+// CutZone cuts a zone's VMs off from the platform and from other zones' VMs, or
+// connects them again.
+func (l *Lab) CutZone(zone string, cut bool) {
+	next := map[string]bool{zone: cut}
+	l.cuts.Store(&next)
+	for _, n := range l.Nodes() {
+		if vm := n.PeerVM(); vm.Zone == zone {
+			l.Platform.Cut(vm.Name, cut)
+		}
+	}
+}
+
+// list tells the platform which VMs there are.
+func (l *Lab) list() {
+	var list []pollendoor.VM
+	for _, n := range l.Nodes() {
+		list = append(list, n.PeerVM())
+	}
+	l.Platform.SetVMs(list)
+}
+
+// Nodes returns the VMs that run.
+func (l *Lab) Nodes() []*node.Node {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []*node.Node
+	for _, n := range l.nodes {
+		if n != nil {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// Remove takes a VM out of the lab and the list; it must have been stopped.
+func (l *Lab) Remove(n *node.Node) {
+	l.mu.Lock()
+	for i := range l.nodes {
+		if l.nodes[i] == n {
+			l.nodes[i] = nil
+		}
+	}
+	l.mu.Unlock()
+	l.list()
+}
+
+// WaitReady waits until every VM serves.
+func (l *Lab) WaitReady(ctx context.Context) error {
+	end := time.Now().Add(readyTimeout)
+	for _, n := range l.Nodes() {
+		for err := n.Ready(); err != nil; err = n.Ready() {
+			if time.Now().After(end) || ctx.Err() != nil {
+				return errors.Wrap(err, "the lab does not get ready")
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// URL returns where a team reaches a route through the VM with the given
+// number.
+func (l *Lab) URL(vm int, team, route string) string {
+	nodes := l.Nodes()
+	u := url.URL{Scheme: "postgres", Host: nodes[vm%len(nodes)].Addr(), Path: "/" + route, RawQuery: "sslmode=disable"}
+	u.User = url.UserPassword(team+".k1", l.Secrets[team])
+	return u.String()
+}
+
+// Group returns the targets behind a route.
+func (l *Lab) Group(name string) *fakes.Group { return l.Groups[name] }
+
+// Stop ends everything.
+func (l *Lab) Stop() {
+	var wg sync.WaitGroup
+	for _, n := range l.Nodes() {
+		wg.Go(n.Stop)
+	}
+	wg.Wait()
+	for _, g := range l.Groups {
+		g.Stop()
+	}
+	l.Platform.Stop()
+}
--- /dev/null
+++ b/node/admin.go
@@ -0,0 +1,361 @@
+package node
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"expvar"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/burn"
+	"github.com/pollendoor/pollendoor/keys"
+	"github.com/pollendoor/pollendoor/peers"
+	"github.com/pollendoor/pollendoor/tree"
+)
+
+// maxAdminBody bounds an operator's request, in bytes.
+const maxAdminBody = 1 << 20
+
+// Status is what a VM tells operators of itself and of the fleet it sees.
+type Status struct {
+	VM       string            `json:"vm"`
+	Zone     string            `json:"zone"`
+	Ready    string            `json:"ready"` // empty if ready, else why not
+	AgeMS    int64             `json:"ageMs"` // since its copies were level with the platform
+	Sessions int               `json:"sessions"`
+	Settings map[string]uint64 `json:"settings"` // version in force, by branch
+	Units    map[string]uint64 `json:"units"`    // of the teams' allowances
+	Peers    []PeerStatus      `json:"peers"`
+	Groups   []GroupStatus     `json:"groups"`
+}
+
+// PeerStatus is one other VM as this one sees it.
+type PeerStatus struct {
+	VM           string `json:"vm"`
+	Zone         string `json:"zone"`
+	HeardMS      int64  `json:"heardMs"`
+	Leaving      bool   `json:"leaving,omitempty"`
+	SameSettings bool   `json:"sameSettings"` // the versions in force are this VM's
+}
+
+// GroupStatus is one database group.
+type GroupStatus struct {
+	Group   string                             `json:"group"`
+	Term    pollendoor.Term                    `json:"term"`
+	Phase   pollendoor.Phase                   `json:"phase"`
+	Primary string                             `json:"primary"`
+	Homes   []string                           `json:"homes"`
+	Targets map[string]pollendoor.TargetStatus `json:"targets,omitempty"`
+}
+
+// Status returns what this VM knows.
+func (n *Node) Status() Status {
+	now := time.Now()
+	v := n.fleet.View()
+	s := Status{
+		VM: n.opt.VM.Name, Zone: n.opt.VM.Zone, AgeMS: -1, Sessions: n.server.Sessions(),
+		Settings: n.guard.Tree().Versions(), Units: n.Holdings(),
+	}
+	if err := n.Ready(); err != nil {
+		s.Ready = err.Error()
+	}
+	if t := n.mirror.AsOf(); !t.IsZero() {
+		s.AgeMS = now.Sub(t).Milliseconds()
+	}
+	_, own := n.guard.Fingerprints()
+	for _, m := range v.Members {
+		s.Peers = append(s.Peers, PeerStatus{
+			VM: m.Name, Zone: m.Zone, HeardMS: now.Sub(m.Heard).Milliseconds(),
+			Leaving: m.Leaving || m.Beat.Draining, SameSettings: m.Beat.Versions == own,
+		})
+	}
+	sort.Slice(s.Peers, func(i, j int) bool { return s.Peers[i].VM < s.Peers[j].VM })
+	for _, name := range n.host.Groups() {
+		s.Groups = append(s.Groups, n.groupStatus(name, v, now))
+	}
+	sort.Slice(s.Groups, func(i, j int) bool { return s.Groups[i].Group < s.Groups[j].Group })
+	return s
+}
+
+func (n *Node) groupStatus(name string, v *peers.View, now time.Time) GroupStatus {
+	gs := GroupStatus{Group: name, Targets: make(map[string]pollendoor.TargetStatus)}
+	g, ok := n.host.Group(name)
+	if !ok {
+		return gs
+	}
+	rec, _ := g.Record()
+	gs.Term, gs.Phase, gs.Primary = rec.Term, rec.Phase, rec.Primary
+	for _, h := range v.Homes(name, now) {
+		gs.Homes = append(gs.Homes, h.Name)
+	}
+	for t, s := range g.Seen() {
+		gs.Targets[t] = s.Status
+	}
+	return gs
+}
+
+func (n *Node) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if err := n.Ready(); err != nil || n.fleet.View().Drained {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		io.WriteString(w, "ready\n")
+	})
+	serve(mux, "GET /status", func(*http.Request) (any, error) { return n.Status(), nil })
+	serve(mux, "GET /settings", n.getSettings)
+	serve(mux, "POST /settings", n.setSettings)
+	serve(mux, "GET /explain/settings", func(r *http.Request) (any, error) {
+		return n.guard.Tree().Explain(r.URL.Query().Get("path"))
+	})
+	serve(mux, "GET /explain/group", n.explainGroup)
+	serve(mux, "GET /keys", n.listKeys)
+	serve(mux, "POST /keys/create", n.createKey)
+	serve(mux, "POST /keys/withdraw", n.withdrawKey)
+	serve(mux, "GET /burn", func(r *http.Request) (any, error) { return n.Burn(r.Context()) })
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		given := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if n.opt.AdminToken != "" && r.URL.Path != "/ready" && subtle.ConstantTimeCompare([]byte(given), []byte(n.opt.AdminToken)) != 1 {
+			http.Error(w, "operators' token is missing or wrong", http.StatusUnauthorized)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// badRequest is an error of the operator's making.
+type badRequest struct{ error }
+
+func serve(mux *http.ServeMux, pattern string, f func(*http.Request) (any, error)) {
+	mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, maxAdminBody)
+		v, err := f(r)
+		var conflict *tree.Conflict
+		var bad badRequest
+		switch {
+		case errors.As(err, &conflict):
+			http.Error(w, err.Error(), http.StatusConflict)
+		case errors.As(err, &bad):
+			http.Error(w, err.Error(), http.StatusBadRequest)
+		case err != nil:
+			http.Error(w, err.Error(), http.StatusBadGateway)
+		default:
+			w.Header().Set("Content-Type", "application/json")
+			json.NewEncoder(w).Encode(v)
+		}
+	})
+}
+
+func decode[T any](r *http.Request) (T, error) {
+	var v T
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&v); err != nil {
+		return v, badRequest{errors.Wrap(err, "request")}
+	}
+	return v, nil
+}
+
+// BranchView is one branch as operators see it.
+type BranchView struct {
+	Path    string      `json:"path"`
+	Version uint64      `json:"version"`
+	Branch  tree.Branch `json:"branch"`
+	Paths   []string    `json:"paths"` // all branches that exist
+}
+
+func (n *Node) getSettings(r *http.Request) (any, error) {
+	p := tree.Clean(r.URL.Query().Get("path"))
+	t := n.guard.Tree()
+	b, v := t.Branch(p)
+	return BranchView{Path: p, Version: v, Branch: b, Paths: t.Paths()}, nil
+}
+
+func (n *Node) setSettings(r *http.Request) (any, error) {
+	e, err := decode[tree.Edit](r)
+	if err != nil {
+		return nil, err
+	}
+	return n.Edit(r.Context(), e)
+}
+
+// Edit checks and accepts a change of settings.
+func (n *Node) Edit(ctx context.Context, e tree.Edit) (BranchView, error) {
+	if err := n.guard.Tree().Check(e.Path, e.YAML); err != nil {
+		return BranchView{}, badRequest{err}
+	}
+	n.writing.Add(1)
+	o, err := tree.Accept(ctx, n.opt.Store, e)
+	var conflict *tree.Conflict
+	n.settle(err == nil || errors.As(err, &conflict))
+	if err != nil {
+		return BranchView{}, err
+	}
+	n.mirror.Apply([]pollendoor.Object{o}, time.Time{})
+	return BranchView{Path: tree.Clean(e.Path), Version: o.Version}, nil
+}
+
+// KeyRequest names a key.
+type KeyRequest struct {
+	Team string `json:"team"`
+	ID   string `json:"id"`
+	By   string `json:"by"`
+}
+
+// KeyAnswer is a key just created. The secret is shown once.
+type KeyAnswer struct {
+	User   string `json:"user"`
+	Secret string `json:"secret,omitempty"`
+}
+
+func (n *Node) listKeys(r *http.Request) (any, error) {
+	ring, err := keys.Decode(n.mirror.Get(keys.Prefix + r.URL.Query().Get("team")))
+	for i := range ring.Keys {
+		ring.Keys[i].Hash = ""
+	}
+	return ring, err
+}
+
+func (n *Node) createKey(r *http.Request) (any, error) {
+	k, err := decode[KeyRequest](r)
+	if err != nil {
+		return nil, err
+	}
+	return n.CreateKey(r.Context(), k)
+}
+
+// CreateKey creates a key of a team that exists in the settings.
+func (n *Node) CreateKey(ctx context.Context, k KeyRequest) (KeyAnswer, error) {
+	if _, ok := n.guard.Tree().At("/teams/" + k.Team); !ok {
+		return KeyAnswer{}, badRequest{errors.Newf("team %q does not exist", k.Team)}
+	}
+	if k.ID == "" || strings.ContainsAny(k.ID, ". /") {
+		return KeyAnswer{}, badRequest{errors.Newf("key id %q must not be empty or hold a point, blank or slash", k.ID)}
+	}
+	var secret string
+	err := n.editKeys(ctx, k.Team, func(ring *keys.Ring) error {
+		var err error
+		secret, err = ring.Create(k.ID, k.By, time.Now())
+		return err
+	}, func(ring keys.Ring) bool { return secret != "" && ring.Matches(k.ID, secret) })
+	return KeyAnswer{User: k.Team + "." + k.ID, Secret: secret}, err
+}
+
+func (n *Node) withdrawKey(r *http.Request) (any, error) {
+	k, err := decode[KeyRequest](r)
+	if err != nil {
+		return nil, err
+	}
+	return KeyAnswer{User: k.Team + "." + k.ID}, n.WithdrawKey(r.Context(), k)
+}
+
+// WithdrawKey ends a key. When it returns without an error the withdrawal is
+// accepted.
+func (n *Node) WithdrawKey(ctx context.Context, k KeyRequest) error {
+	return n.editKeys(ctx, k.Team, func(ring *keys.Ring) error {
+		if !ring.Withdraw(k.ID, time.Now()) {
+			return errors.Newf("team %s has no key %s", k.Team, k.ID)
+		}
+		return nil
+	}, func(ring keys.Ring) bool { return !ring.Live(k.ID) })
+}
+
+const (
+	keyTries = 5
+	keyPause = 30 * time.Millisecond
+)
+
+// editKeys changes a team's keys in the store. Done recognizes a change whose
+// answer was lost.
+func (n *Node) editKeys(ctx context.Context, team string, change func(*keys.Ring) error, done func(keys.Ring) bool) error {
+	known := false
+	n.writing.Add(1)
+	defer func() { n.settle(known) }()
+	var last error
+	for range keyTries {
+		o, err := n.opt.Store.Get(ctx, keys.Prefix+team)
+		if errors.Is(err, pollendoor.ErrNotFound) {
+			o, err = pollendoor.Object{Name: keys.Prefix + team}, nil
+		}
+		if err == nil {
+			var settled bool
+			if settled, err = n.tryKeys(ctx, o, change, done); settled {
+				known = true
+				return err
+			}
+		}
+		last = err
+		sleep(ctx, keyPause)
+	}
+	return errors.Wrap(last, "the platform does not answer, the outcome is open")
+}
+
+// tryKeys makes one try and reports whether the outcome is certain.
+func (n *Node) tryKeys(ctx context.Context, o pollendoor.Object, change func(*keys.Ring) error, done func(keys.Ring) bool) (bool, error) {
+	ring, err := keys.Decode(o)
+	if err != nil {
+		return true, err
+	}
+	if o.Version > 0 && done(ring) {
+		n.mirror.Apply([]pollendoor.Object{o}, time.Time{})
+		return true, nil
+	}
+	if err := change(&ring); err != nil {
+		return true, badRequest{err}
+	}
+	raw, err := json.Marshal(ring)
+	if err != nil {
+		return true, errors.Wrap(err, "keys")
+	}
+	v, err := n.opt.Store.Put(ctx, o.Name, o.Version, raw)
+	if err != nil {
+		return false, err
+	}
+	n.mirror.Apply([]pollendoor.Object{{Name: o.Name, Version: v, Value: raw}}, time.Time{})
+	return true, nil
+}
+
+// GroupExplained is why a group is as it is.
+type GroupExplained struct {
+	Record pollendoor.GroupRecord `json:"record"` // with the agreed events
+	Local  []pollendoor.Event     `json:"local"`  // of this VM
+}
+
+func (n *Node) explainGroup(r *http.Request) (any, error) {
+	name := r.URL.Query().Get("name")
+	g, ok := n.host.Group(name)
+	if !ok {
+		return nil, badRequest{errors.Newf("group %q is not known", name)}
+	}
+	rec, _ := g.Record()
+	return GroupExplained{Record: rec, Local: n.host.Events(name)}, nil
+}
+
+// Burn adds up the burn summaries of all VMs, this one's as it is now.
+func (n *Node) Burn(ctx context.Context) ([]burn.Summary, error) {
+	own, err := n.Summary()
+	if err != nil {
+		return nil, err
+	}
+	list := []burn.Summary{own}
+	objects, _, err := n.opt.Store.List(ctx, burnPrefix)
+	if err != nil {
+		objects = n.mirror.Below(burnPrefix)
+	}
+	for _, o := range objects {
+		var s burn.Summary
+		if json.Unmarshal(o.Value, &s) == nil && s.VM != n.opt.VM.Name {
+			list = append(list, s)
+		}
+	}
+	return list, nil
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,332 @@
+// Package node puts one VM together: the copies of the platform's objects, the
+// fleet, the groups that have their home here, the teams' allowances, the
+// listener for callers and the one for operators.
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/access"
+	"github.com/pollendoor/pollendoor/burn"
+	"github.com/pollendoor/pollendoor/entry"
+	"github.com/pollendoor/pollendoor/escrow"
+	"github.com/pollendoor/pollendoor/group"
+	"github.com/pollendoor/pollendoor/home"
+	"github.com/pollendoor/pollendoor/keys"
+	"github.com/pollendoor/pollendoor/limit"
+	"github.com/pollendoor/pollendoor/mirror"
+	"github.com/pollendoor/pollendoor/peers"
+)
+
+const (
+	// summaryEvery is how often burn summaries are kept on the platform.
+	summaryEvery = 15 * time.Second
+	// refreshLeast is the least time between compilations of the snapshot.
+	refreshLeast = 10 * time.Millisecond
+	// handOver bounds the giving back of allowances at a planned stop.
+	handOver = 2 * time.Second
+)
+
+// Options says what a VM is and where its neighbors are.
+type Options struct {
+	VM          pollendoor.VM // name and zone
+	Listen      string        // for callers
+	PeerListen  string
+	AdminListen string // empty for none
+	Store       pollendoor.Store
+	PeerSecret  string
+	AdminToken  string
+	User        string // the system's credentials at targets
+	Password    string
+	Connections int // of this VM to one target
+	TLS         *tls.Config
+	RequireTLS  bool
+	Cut         func(addr string) bool // for tests
+	Log         zerolog.Logger
+}
+
+// Node is one VM. It is safe for use by several goroutines.
+type Node struct {
+	opt     Options
+	id      string
+	mirror  mirror.Mirror
+	book    burn.Book
+	fleet   *peers.Fleet
+	host    *home.Host
+	forward *peers.Forwarder
+	guard   *access.Guard
+	keeper  *escrow.Keeper
+	server  *entry.Server
+	admin   *http.Server
+	adminAt string
+	writing atomic.Int64 // own writes of settings or keys under way
+	open    atomic.Int64 // unix ns until when one may yet take effect unknown to this VM
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      *conc.WaitGroup
+	summary uint64 // version of this VM's burn object
+}
+
+// Start starts a VM. With an error nothing is left running.
+func Start(opt Options) (*Node, error) {
+	n := &Node{opt: opt, id: opt.VM.Name + "#" + uuid.NewString()[:8], wg: conc.NewWaitGroup()}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	secure, err := peers.Secure(opt.PeerSecret)
+	if err != nil {
+		return nil, err
+	}
+	n.host = home.NewHost(home.Options{
+		VM: opt.VM.Name, Zone: opt.VM.Zone, Store: opt.Store, User: opt.User, Password: opt.Password,
+		Connections: opt.Connections, Log: opt.Log,
+		Rank:     func(g string) (int, bool) { return n.fleet.Rank(g) },
+		Vantages: func(g string) []group.Vantage { return n.fleet.Vantages(g) },
+	})
+	n.fleet = peers.New(peers.Options{
+		Self: opt.VM, ID: n.id, TLS: secure, Store: opt.Store, Mirror: &n.mirror, Runner: n.host,
+		Fill: n.fill, Transfer: func(t limit.Transfer) bool { return n.keeper.Receive(t) }, Cut: opt.Cut, Log: opt.Log,
+	})
+	n.forward = &peers.Forwarder{Fleet: n.fleet, Local: n.host}
+	n.guard = &access.Guard{
+		Mirror: &n.mirror, Zones: n.zones, Burn: &n.book, Log: opt.Log,
+		Take: func(team string, c int) (time.Duration, bool) { return n.keeper.Take(team, c) },
+	}
+	n.keeper = escrow.New(escrow.Options{
+		ID: n.id, Store: opt.Store, Mirror: &n.mirror, View: n.fleet.View,
+		Send: n.fleet.Send, Teams: n.guard.Allowances, Log: opt.Log,
+	})
+	n.server = entry.NewServer(entry.Options{Runner: n.forward, Access: n.guard, TLS: opt.TLS, RequireTLS: opt.RequireTLS, Log: opt.Log})
+	return n, n.listen()
+}
+
+func (n *Node) listen() error {
+	if _, err := n.fleet.Listen(n.opt.PeerListen); err != nil {
+		return err
+	}
+	if n.opt.AdminListen != "" {
+		l, err := net.Listen("tcp", n.opt.AdminListen)
+		if err != nil {
+			n.fleet.Stop()
+			return errors.Wrap(err, "listen for operators")
+		}
+		n.adminAt = l.Addr().String()
+		n.admin = &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: 5 * time.Second}
+		n.wg.Go(func() { n.admin.Serve(l) })
+	}
+	if err := n.server.Listen(n.opt.Listen); err != nil {
+		n.fleet.Stop()
+		if n.admin != nil {
+			n.admin.Close()
+		}
+		return err
+	}
+	n.fleet.Start()
+	n.keeper.Start()
+	n.wg.Go(n.follow)
+	n.wg.Go(n.summarize)
+	return nil
+}
+
+// Addr returns the address for callers.
+func (n *Node) Addr() string { return n.server.Addr() }
+
+// AdminAddr returns the address for operators.
+func (n *Node) AdminAddr() string { return n.adminAt }
+
+// PeerVM returns the VM with its peer address, as the platform lists it.
+func (n *Node) PeerVM() pollendoor.VM { return n.fleet.View().Self }
+
+// Ready returns an error until the VM can serve.
+func (n *Node) Ready() error {
+	if n.mirror.AsOf().IsZero() {
+		return errors.New("nothing was read from the platform yet")
+	}
+	return n.host.Ready()
+}
+
+// follow applies what comes to the VM's copies: group records to the host, and
+// settings and keys to the guard.
+func (n *Node) follow() {
+	var seq uint64
+	for n.ctx.Err() == nil {
+		changed := n.mirror.Changed()
+		list, next, _ := n.mirror.Since(seq)
+		seq = next
+		fresh := false
+		for _, o := range list {
+			if strings.HasPrefix(o.Name, home.GroupPrefix) {
+				n.host.ApplyObject(o)
+			}
+			fresh = fresh || strings.HasPrefix(o.Name, "settings/") || strings.HasPrefix(o.Name, keys.Prefix)
+		}
+		if fresh {
+			n.guard.Refresh()
+		}
+		select {
+		case <-changed:
+			sleep(n.ctx, refreshLeast)
+		case <-n.ctx.Done():
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// fill completes a heartbeat.
+func (n *Node) fill(b *peers.Beat) {
+	b.Fingerprint, b.Versions = n.guard.Fingerprints()
+	b.Pending = n.unsettled()
+	n.keeper.Fill(b)
+	for _, name := range n.host.Groups() {
+		if _, home := n.fleet.Rank(name); !home {
+			continue
+		}
+		if g, ok := n.host.Group(name); ok {
+			term, down := g.Down()
+			if b.Opinions == nil {
+				b.Opinions = make(map[string]peers.Opinion)
+			}
+			b.Opinions[name] = peers.Opinion{Term: term, Down: down}
+		}
+	}
+}
+
+// openFor is how long a write whose answer was lost may still take effect.
+const openFor = 5 * time.Second
+
+// unsettled reports whether a write of this VM may have taken effect without
+// its copies showing it.
+func (n *Node) unsettled() bool {
+	return n.writing.Load() > 0 || n.mirror.AsOf().UnixNano() < n.open.Load()
+}
+
+// settle ends a write. Known tells whether its outcome is.
+func (n *Node) settle(known bool) {
+	if !known {
+		n.open.Store(time.Now().Add(openFor).UnixNano())
+	}
+	n.writing.Add(-1)
+}
+
+// zones tells what the zones know of the keys, for key data that is old.
+func (n *Node) zones() []keys.Zone {
+	own, _ := n.guard.Fingerprints()
+	v := n.fleet.View()
+	byZone := map[string]keys.Zone{n.opt.VM.Zone: {Heard: true, Same: true, Pending: n.unsettled()}}
+	for _, z := range v.Zones() {
+		if z != n.opt.VM.Zone {
+			byZone[z] = keys.Zone{Same: true}
+		}
+	}
+	for _, m := range v.Members {
+		if time.Since(m.Heard) > peers.HeardFresh {
+			continue
+		}
+		z := byZone[m.Zone]
+		z.Heard = true
+		z.Same = z.Same && m.Beat.Fingerprint == own
+		z.Pending = z.Pending || m.Beat.Pending
+		byZone[m.Zone] = z
+	}
+	var list []keys.Zone
+	for _, z := range byZone {
+		list = append(list, z)
+	}
+	return list
+}
+
+// summarize keeps this VM's burn summary on the platform.
+func (n *Node) summarize() {
+	for n.ctx.Err() == nil {
+		sleep(n.ctx, summaryEvery/2+rand.N(summaryEvery))
+		n.writeSummary(n.ctx)
+	}
+}
+
+func (n *Node) writeSummary(ctx context.Context) {
+	raw, err := n.book.Summary(n.opt.VM.Name)
+	if err != nil {
+		return
+	}
+	name := burnPrefix + n.opt.VM.Name
+	if v, err := n.opt.Store.Put(ctx, name, n.summary, raw); err == nil {
+		n.summary = v
+		return
+	}
+	// Another process of this VM, or a lost answer: the next write is based on
+	// what is there.
+	if o, err := n.opt.Store.Get(ctx, name); err == nil {
+		n.summary = o.Version
+	}
+}
+
+// burnPrefix is where burn summaries are kept in the store.
+const burnPrefix = "burn/"
+
+// Drain is a planned stop: no new work, what runs may end until ctx does, and
+// allowances go to the VMs that stay.
+func (n *Node) Drain(ctx context.Context) {
+	n.fleet.Drain()
+	n.server.Drain(ctx)
+	c, cancel := context.WithTimeout(context.WithoutCancel(ctx), handOver)
+	defer cancel()
+	n.keeper.HandOver(c)
+	n.writeSummary(c)
+	n.Stop()
+}
+
+// Stop ends the VM at once.
+func (n *Node) Stop() {
+	n.cancel()
+	n.server.Stop()
+	n.keeper.Stop()
+	n.forward.Close()
+	if n.admin != nil {
+		n.admin.Close()
+	}
+	n.fleet.Stop()
+	n.host.Stop()
+	n.wg.Wait()
+}
+
+// SettingsVersion returns the version of a branch in force on this VM.
+func (n *Node) SettingsVersion(path string) uint64 {
+	_, v := n.guard.Tree().Branch(path)
+	return v
+}
+
+// Holdings returns the units this VM holds of each team's allowance.
+func (n *Node) Holdings() map[string]uint64 { return n.keeper.Holdings() }
+
+// Host returns the groups of this VM.
+func (n *Node) Host() *home.Host { return n.host }
+
+// Summary returns the VM's burn counts.
+func (n *Node) Summary() (burn.Summary, error) {
+	var s burn.Summary
+	raw, err := n.book.Summary(n.opt.VM.Name)
+	if err != nil {
+		return s, err
+	}
+	return s, errors.Wrap(json.Unmarshal(raw, &s), "burn summary")
+}
--- a/peers/fleet.go
+++ b/peers/fleet.go
@@ -110,7 +110,9 @@
 		}
 	})
 	f.wg.Go(f.beatLoop)
-	f.wg.Go(f.watchLoop)
+	for _, p := range shared {
+		f.wg.Go(func() { f.watchLoop(p) })
+	}
 	f.wg.Go(f.listLoop)
 	f.wg.Go(f.pullLoop)
 	f.wg.Go(f.farLoop)
@@ -270,9 +272,15 @@
 
 var watchCalls = expvar.NewInt("pollendoorStoreWatches")
 
-// watchLoop copies the store's objects, on watchers and on VMs that know
-// nobody.
-func (f *Fleet) watchLoop() {
+// shared are the prefixes of the objects that every VM has a copy of. A copy is
+// as old as its key objects are.
+var shared = []string{keyPrefix, "settings/", "groups/", "escrow/"}
+
+const keyPrefix = "keys/"
+
+// watchLoop copies the store's objects below prefix, on watchers and on VMs
+// that know nobody.
+func (f *Fleet) watchLoop(prefix string) {
 	var revision uint64
 	for f.ctx.Err() == nil {
 		v := f.view.Load()
@@ -286,15 +294,18 @@
 		asked := time.Now()
 		watchCalls.Add(1)
 		if revision == 0 {
-			list, revision, err = f.opt.Store.List(f.ctx, "")
+			list, revision, err = f.opt.Store.List(f.ctx, prefix)
 		} else {
-			list, revision, err = f.opt.Store.Watch(f.ctx, "", revision)
+			list, revision, err = f.opt.Store.Watch(f.ctx, prefix, revision)
 		}
 		if err != nil {
 			revision = 0
 			f.pause(watchRetry/2 + rand.N(watchRetry))
 			continue
 		}
+		if prefix != keyPrefix {
+			asked = time.Time{}
+		}
 		f.opt.Mirror.Apply(list, asked)
 	}
 }
--- a/store/store.go
+++ b/store/store.go
@@ -60,11 +60,16 @@
 	return nil, nil, errors.Newf("platform answered %s: %s", resp.Status, raw)
 }
 
+// path returns where an object is. Names may hold any sign.
+func path(name string) string {
+	return (&url.URL{Path: "/objects/" + name}).EscapedPath()
+}
+
 // Get returns the object called name.
 func (c *Client) Get(ctx context.Context, name string) (pollendoor.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	resp, raw, err := c.call(ctx, http.MethodGet, "/objects/"+name, nil, nil)
+	resp, raw, err := c.call(ctx, http.MethodGet, path(name), nil, nil)
 	if err != nil {
 		return pollendoor.Object{}, err
 	}
@@ -82,7 +87,7 @@
 	} else {
 		h.Set("If-Match", `"`+strconv.FormatUint(ver, 10)+`"`)
 	}
-	resp, _, err := c.call(ctx, http.MethodPut, "/objects/"+name, h, value)
+	resp, _, err := c.call(ctx, http.MethodPut, path(name), h, value)
 	if err != nil {
 		return 0, err
 	}
