--- /dev/null
+++ b/bench/caller.go
@@ -0,0 +1,198 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/pollendoor/pollendoor"
+)
+
+// caller is one session that connects again when it is cut, and may move from
+// VM to VM with its token.
+type caller struct {
+	lab   *Lab
+	team  string
+	route string
+	vm    int
+	conn  *pgx.Conn
+	token string
+	extra string // added to the URL
+}
+
+func (c *caller) connect(ctx context.Context) error {
+	if c.conn != nil && !c.conn.IsClosed() {
+		return nil
+	}
+	url := c.lab.URL(c.vm, c.team, c.route) + "&pollendoor.session=" + c.token + c.extra
+	conn, err := pgx.Connect(ctx, url)
+	if err != nil {
+		return err
+	}
+	c.conn = conn
+	return nil
+}
+
+// move goes to another VM, with the token.
+func (c *caller) move(ctx context.Context, vm int) {
+	c.vm = vm
+	c.close(ctx)
+}
+
+func (c *caller) close(ctx context.Context) {
+	if c.conn != nil {
+		c.conn.Close(ctx)
+		c.conn = nil
+	}
+}
+
+// exec runs a statement. The token is kept for the next VM.
+func (c *caller) exec(ctx context.Context, sql string, args ...any) error {
+	if err := c.connect(ctx); err != nil {
+		return err
+	}
+	_, err := c.conn.Exec(ctx, sql, args...)
+	c.keep()
+	return err
+}
+
+func (c *caller) keep() {
+	if t := c.conn.PgConn().ParameterStatus("pollendoor.session"); t != "" {
+		c.token = t
+	}
+}
+
+// number runs a query that returns one number.
+func (c *caller) number(ctx context.Context, sql string, args ...any) (int64, error) {
+	if err := c.connect(ctx); err != nil {
+		return 0, err
+	}
+	var n int64
+	err := c.conn.QueryRow(ctx, sql, args...).Scan(&n)
+	c.keep()
+	return n, err
+}
+
+// code returns the SQLSTATE of an error, empty for none or another error.
+func code(err error) string {
+	var pe *pgconn.PgError
+	if errors.As(err, &pe) {
+		return pe.Code
+	}
+	return ""
+}
+
+// notRun reports whether an error says that the statement did not run.
+func notRun(err error) bool {
+	var pe *pgconn.PgError
+	return errors.As(err, &pe) && pe.Detail == "outcome="+string(pollendoor.NotRun)
+}
+
+// pace runs work at a fixed rate until ctx ends, each in turn; late ones follow
+// at once, so that waiting shows in their latency from the due time.
+func pace(ctx context.Context, every time.Duration, work func(due time.Time)) {
+	for due := time.Now(); ctx.Err() == nil; due = due.Add(every) {
+		if d := time.Until(due); d > 0 {
+			t := time.NewTimer(d)
+			select {
+			case <-ctx.Done():
+				t.Stop()
+				return
+			case <-t.C:
+			}
+		}
+		work(due)
+	}
+}
+
+// ledgerCheck writes rows with unique ids and finds out at the end which of
+// them are there, and how often.
+type ledgerCheck struct {
+	mu      sync.Mutex
+	acked   map[string]pollendoor.Position
+	denied  map[string]bool // refused as not run
+	unsure  int
+	refused int
+}
+
+func newLedgerCheck() *ledgerCheck {
+	return &ledgerCheck{acked: make(map[string]pollendoor.Position), denied: make(map[string]bool)}
+}
+
+// note takes the outcome of one write.
+func (l *ledgerCheck) note(id string, err error, p pollendoor.Position) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case err == nil:
+		l.acked[id] = p
+	case notRun(err):
+		l.denied[id] = true
+		l.refused++
+	default:
+		l.unsure++
+	}
+}
+
+// table is where the rows of a ledgerCheck go.
+const table = "CREATE TABLE gift (id TEXT, amount BIGINT)"
+
+// audit reads the rows at the primary and compares.
+func (l *ledgerCheck) audit(ctx context.Context, c *caller, r *Result, lineage pollendoor.Lineage, term pollendoor.Term) error {
+	if err := c.connect(ctx); err != nil {
+		return err
+	}
+	counts := make(map[string]int64)
+	err := pgx.BeginFunc(ctx, c.conn, func(tx pgx.Tx) error {
+		rows, err := tx.Query(ctx, "SELECT id, count(*) FROM gift GROUP BY id")
+		if err != nil {
+			return err
+		}
+		defer rows.Close()
+		for rows.Next() {
+			var id string
+			var n int64
+			if err := rows.Scan(&id, &n); err != nil {
+				return err
+			}
+			counts[id] = n
+		}
+		return rows.Err()
+	})
+	if err != nil {
+		return errors.Wrap(err, "audit")
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lost, doubled, superseded, lied := 0, 0, 0, 0
+	for id, p := range l.acked {
+		if counts[id] == 0 {
+			lost++
+		}
+		if !p.IsZero() && !lineage.Holds(p, term) {
+			superseded++
+		}
+	}
+	for id, n := range counts {
+		if n > 1 {
+			doubled++
+		}
+		if l.denied[id] {
+			lied++
+		}
+	}
+	r.Figures["acked"] += float64(len(l.acked))
+	r.Figures["lost"] += float64(lost)
+	r.Figures["doubled"] += float64(doubled)
+	r.Figures["supersededAcks"] += float64(superseded)
+	r.Figures["falseNotRun"] += float64(lied)
+	r.Figures["unknown"] += float64(l.unsure)
+	r.Figures["refused"] += float64(l.refused)
+	r.violate(lost+doubled+superseded+lied, fmt.Sprintf("lost %d, doubled %d, superseded %d, false notRun %d", lost, doubled, superseded, lied))
+	return nil
+}
--- /dev/null
+++ b/bench/cost.go
@@ -0,0 +1,175 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/pollendoor/pollendoor/peers"
+	"github.com/pollendoor/pollendoor/tree"
+)
+
+func edit(path, text string, based uint64) tree.Edit {
+	return tree.Edit{Path: path, YAML: text, Based: based, By: "bench"}
+}
+
+// cpuTime returns the processor time that this process has used.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// overhead compares a prepared read through one VM with the same straight to
+// the target, one at a time. Processor time and allocations are those of the
+// whole process, so the caller's and the target's cancel out in the difference.
+func overhead(ctx context.Context, c Config) (*Result, error) {
+	r := newResult("overhead")
+	r.Targets["addedP50Us"] = "<= 150"
+	l, err := StartLab(ctx, LabOptions{Log: c.Log})
+	if err != nil {
+		return nil, err
+	}
+	defer l.Stop()
+	me := &caller{lab: l, team: "festa", route: firstGroup}
+	defer me.close(ctx)
+	if err := me.exec(ctx, "CREATE TABLE pot (id BIGINT PRIMARY KEY, n BIGINT)"); err != nil {
+		return nil, err
+	}
+	if err := me.exec(ctx, "INSERT INTO pot VALUES (1, 1)"); err != nil {
+		return nil, err
+	}
+	time.Sleep(100 * time.Millisecond)
+	target := l.Group(firstGroup).Targets[1]
+	u := url.URL{Scheme: "postgres", User: url.UserPassword(targetUser, targetPassword), Host: target.Addr(), Path: "/" + firstGroup, RawQuery: "sslmode=disable"}
+	direct, err := pgx.Connect(ctx, u.String())
+	if err != nil {
+		return nil, err
+	}
+	defer direct.Close(ctx)
+	via, err := l.homeConn(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer via.Close(ctx)
+	d := c.duration(3 * time.Second)
+	straight, err := measure(ctx, direct, d)
+	if err != nil {
+		return nil, err
+	}
+	through, err := measure(ctx, via, d)
+	if err != nil {
+		return nil, err
+	}
+	r.Figures["directP50Us"], r.Figures["throughP50Us"] = straight.latency.ms(50)*1000, through.latency.ms(50)*1000
+	r.Figures["addedP50Us"] = r.Figures["throughP50Us"] - r.Figures["directP50Us"]
+	r.Figures["directP99Us"], r.Figures["throughP99Us"] = straight.latency.ms(99)*1000, through.latency.ms(99)*1000
+	r.Figures["addedAllocations"] = through.allocations - straight.allocations
+	added := through.cpu - straight.cpu
+	r.Figures["addedCPUUs"] = float64(added.Microseconds())
+	if added > 0 {
+		r.Figures["statementsPerCore"] = float64(time.Second) / float64(added)
+	}
+	return r, nil
+}
+
+// homeConn connects to a VM that is a home of the first group.
+func (l *Lab) homeConn(ctx context.Context) (*pgx.Conn, error) {
+	for i, n := range l.Nodes() {
+		if n.IsHome(firstGroup) {
+			return pgx.Connect(ctx, l.URL(i, "festa", firstGroup))
+		}
+	}
+	return pgx.Connect(ctx, l.URL(0, "festa", firstGroup))
+}
+
+type cost struct {
+	latency     latencies
+	allocations float64 // a statement
+	cpu         time.Duration
+}
+
+func measure(ctx context.Context, c *pgx.Conn, d time.Duration) (cost, error) {
+	k := cost{latency: newLatencies()}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	cpu := cpuTime()
+	count := 0
+	for end := time.Now().Add(d); time.Now().Before(end); count++ {
+		start := time.Now()
+		var n int64
+		if err := c.QueryRow(ctx, "SELECT n FROM pot WHERE id = $1", 1).Scan(&n); err != nil {
+			return k, err
+		}
+		k.latency.add(time.Since(start))
+	}
+	runtime.ReadMemStats(&after)
+	k.allocations = float64(after.Mallocs-before.Mallocs) / float64(count)
+	k.cpu = (cpuTime() - cpu) / time.Duration(count)
+	return k, nil
+}
+
+// control measures an idle fleet's control cost a VM at growing sizes.
+func control(ctx context.Context, c Config) (*Result, error) {
+	r := newResult("control")
+	r.Targets["bytesPerSecond"], r.Targets["corePercent"], r.Targets["memoryMB"] = "<= 11000", "<= 4", "<= 64"
+	base := float64(0)
+	for _, n := range []int{8, 32, 128} {
+		k, err := controlAt(ctx, c, n)
+		if err != nil {
+			return nil, err
+		}
+		tag := fmt.Sprintf("At%d", n)
+		r.Figures["bytesPerSecond"+tag] = k.bytes
+		r.Figures["corePercent"+tag] = k.core
+		r.Figures["memoryMB"+tag] = k.memory
+		r.Figures["storeCallsPerSecond"+tag] = k.calls
+		if base == 0 {
+			base = k.bytes
+		}
+	}
+	r.Settings["seconds"] = c.duration(5 * time.Second).Seconds()
+	return r, nil
+}
+
+type controlCost struct{ bytes, core, memory, calls float64 }
+
+func controlAt(ctx context.Context, c Config, vms int) (controlCost, error) {
+	zones := []string{"a", "b", "c", "d"}
+	var k controlCost
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	l, err := StartLab(ctx, LabOptions{Zones: zones[:3], VMsPerZone: (vms + 2) / 3, Log: c.Log})
+	if err != nil {
+		return k, err
+	}
+	defer l.Stop()
+	n := float64(len(l.Nodes()))
+	time.Sleep(3 * time.Second) // the fleet settles
+	d := c.duration(5 * time.Second)
+	calls, bytes, cpu := total(l.Platform.Calls()), peers.Bytes(), cpuTime()
+	time.Sleep(d)
+	k.calls = float64(total(l.Platform.Calls())-calls) / d.Seconds()
+	k.bytes = float64(peers.Bytes()-bytes) / d.Seconds() / n
+	k.core = float64(cpuTime()-cpu) / float64(d) * 100 / n
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	k.memory = float64(after.HeapInuse+after.StackInuse-before.HeapInuse-before.StackInuse) / n / (1 << 20)
+	return k, nil
+}
+
+func total(m map[string]int) int {
+	n := 0
+	for _, v := range m {
+		n += v
+	}
+	return n
+}
--- /dev/null
+++ b/bench/failover.go
@@ -0,0 +1,248 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pollendoor/pollendoor/fakes"
+	"github.com/pollendoor/pollendoor/token"
+)
+
+const firstGroup = "potes/potes-1"
+
+// settleTime bounds the wait for a group to be whole again after a trial.
+const settleTime = 15 * time.Second
+
+// failover loses primaries in turn by kill, stop and cut, under writes with
+// request ids from all zones; every second trial the store also loses answers.
+func failover(ctx context.Context, c Config) (*Result, error) {
+	r := newResult("failover")
+	r.Targets["gapP99Ms"] = "<= 2000"
+	l, err := StartLab(ctx, LabOptions{VMsPerZone: 3, Target: fakes.TargetOptions{Slots: 3, Connections: 20, Connect: 10 * time.Millisecond}, Log: c.Log})
+	if err != nil {
+		return nil, err
+	}
+	defer l.Stop()
+	trials := c.trials(30)
+	r.Settings["trials"], r.Settings["vms"], r.Settings["callers"] = trials, len(l.Nodes()), 6
+	first := &caller{lab: l, team: "festa", route: firstGroup}
+	defer first.close(ctx)
+	if err := first.exec(ctx, table); err != nil {
+		return nil, err
+	}
+	gaps, check := newLatencies(), newLedgerCheck()
+	for i := range trials {
+		l.Platform.LoseEveryOther(i%2 == 1)
+		gap, err := failoverTrial(ctx, l, i, check)
+		if err != nil {
+			return nil, errors.Wrapf(err, "trial %d", i)
+		}
+		gaps.add(gap)
+	}
+	l.Platform.LoseEveryOther(false)
+	r.Figures["gapP50Ms"], r.Figures["gapP99Ms"], r.Figures["gapMaxMs"] = gaps.ms(50), gaps.ms(99), gaps.ms(100)
+	g, _ := l.Nodes()[0].Host().Group(firstGroup)
+	rec, _ := g.Record()
+	return r, check.audit(ctx, first, r, rec.Lineage, rec.Term)
+}
+
+// failoverTrial loses the primary once and returns the longest that a caller
+// waited.
+func failoverTrial(ctx context.Context, l *Lab, trial int, check *ledgerCheck) (time.Duration, error) {
+	run, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var worst atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 6 {
+		wg.Go(func() { writeSteadily(run, l, i, trial, check, &worst) })
+	}
+	time.Sleep(300 * time.Millisecond)
+	worst.Store(0)
+	p := l.Group(firstGroup).Primary()
+	if p == nil {
+		return 0, errors.New("there is no primary")
+	}
+	term := p.Status().Term
+	back := lose(l, p, trial)
+	err := l.waitTerm(ctx, uint64(term)+1)
+	time.Sleep(300 * time.Millisecond)
+	cancel()
+	wg.Wait()
+	gap := time.Duration(worst.Load())
+	back()
+	if err == nil {
+		err = l.waitWhole(ctx)
+	}
+	return gap, err
+}
+
+// lose takes the primary away in the way of the trial and returns what brings
+// it back.
+func lose(l *Lab, p *fakes.Target, trial int) func() {
+	switch trial % 3 {
+	case 0:
+		p.Kill()
+		return func() { p.Start() }
+	case 1:
+		p.Freeze()
+		return p.Thaw
+	default:
+		// Cut off from everybody, its own zone too; its connections stay open.
+		p.SetCut(func(string) bool { return true })
+		p.CutOwn(true)
+		return func() {
+			p.CutOwn(false)
+			p.SetCut(func(z string) bool { return (*l.cuts.Load())[z] })
+		}
+	}
+}
+
+func writeSteadily(ctx context.Context, l *Lab, worker, trial int, check *ledgerCheck, worst *atomic.Int64) {
+	w := &caller{lab: l, team: "festa", route: firstGroup, vm: worker}
+	defer w.close(context.Background())
+	n := 0
+	pace(ctx, 10*time.Millisecond, func(time.Time) {
+		n++
+		id := fmt.Sprintf("%d-%d-%d", trial, worker, n)
+		start := time.Now()
+		// The statement outlives the trial's end, so that its outcome is known.
+		err := w.exec(context.Background(), "INSERT INTO gift VALUES ('"+id+"', 1) /*pollendoor.requestId='"+id+"'*/")
+		t, _ := token.Parse(w.token)
+		check.note(id, err, t.At(firstGroup))
+		for d := time.Since(start); ; {
+			old := worst.Load()
+			if int64(d) <= old || worst.CompareAndSwap(old, int64(d)) {
+				return
+			}
+		}
+	})
+}
+
+// waitTerm waits until some target leads the term or a newer one.
+func (l *Lab) waitTerm(ctx context.Context, term uint64) error {
+	for end := time.Now().Add(settleTime); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		for _, n := range l.Nodes() {
+			if g, ok := n.Host().Group(firstGroup); ok {
+				if rec, _ := g.Record(); uint64(rec.Term) >= term && rec.Phase == "serving" {
+					return nil
+				}
+			}
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	return errors.Newf("term %d does not serve", term)
+}
+
+// waitWhole waits until all targets of the first group are level in one term.
+func (l *Lab) waitWhole(ctx context.Context) error {
+	for end := time.Now().Add(settleTime); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
+		same := true
+		first := l.Group(firstGroup).Targets[0].Status()
+		l.Group(firstGroup).Each(func(t *fakes.Target) {
+			s := t.Status()
+			same = same && s.Term == first.Term && s.Applied == first.Applied
+		})
+		if same {
+			return nil
+		}
+	}
+	return errors.New("the targets did not become level")
+}
+
+// dedupExperiment counts doubled and lost writes of callers that repeat what
+// they heard no answer to, with and without request ids, while primaries are
+// lost.
+func dedupExperiment(ctx context.Context, c Config) (*Result, error) {
+	r := newResult("dedup")
+	r.Targets["doubledWithId"], r.Targets["lostWithId"] = "0", "0"
+	trials := c.trials(6)
+	r.Settings["trials"] = trials
+	for _, keyed := range []bool{false, true} {
+		name := map[bool]string{false: "WithoutId", true: "WithId"}[keyed]
+		lost, doubled, err := repeatAlways(ctx, c, trials, keyed)
+		if err != nil {
+			return nil, err
+		}
+		r.Figures["lost"+name], r.Figures["doubled"+name] = float64(lost), float64(doubled)
+		if keyed {
+			r.violate(lost+doubled, "a write with a request id was lost or doubled")
+		}
+	}
+	r.Notes = append(r.Notes, "without an id the caller repeats every write whose outcome it does not know")
+	return r, nil
+}
+
+func repeatAlways(ctx context.Context, c Config, trials int, keyed bool) (lost, doubled int, err error) {
+	l, err := StartLab(ctx, LabOptions{Target: fakes.TargetOptions{Slots: 3, Connections: 20, ShipDelay: 2 * time.Millisecond}, Log: c.Log})
+	if err != nil {
+		return 0, 0, err
+	}
+	defer l.Stop()
+	first := &caller{lab: l, team: "festa", route: firstGroup}
+	defer first.close(ctx)
+	if err := first.exec(ctx, table); err != nil {
+		return 0, 0, err
+	}
+	var mu sync.Mutex
+	var ids []string
+	for i := range trials {
+		run, cancel := context.WithCancel(ctx)
+		var wg sync.WaitGroup
+		for w := range 12 {
+			wg.Go(func() {
+				me := &caller{lab: l, team: "festa", route: firstGroup, vm: w}
+				defer me.close(context.Background())
+				for n := 0; run.Err() == nil; n++ {
+					id := fmt.Sprintf("%d-%d-%d", i, w, n)
+					if repeatUntilDone(me, id, keyed) {
+						mu.Lock()
+						ids = append(ids, id)
+						mu.Unlock()
+					}
+				}
+			})
+		}
+		time.Sleep(200 * time.Millisecond)
+		p := l.Group(firstGroup).Primary()
+		back := lose(l, p, i)
+		err := l.waitTerm(ctx, uint64(p.Status().Term)+1)
+		time.Sleep(200 * time.Millisecond)
+		cancel()
+		wg.Wait()
+		back()
+		if err == nil {
+			err = l.waitWhole(ctx)
+		}
+		if err != nil {
+			return 0, 0, err
+		}
+	}
+	n, err := first.number(ctx, "SELECT count(distinct id) FROM gift")
+	if err != nil {
+		return 0, 0, err
+	}
+	extra, err := first.number(ctx, "SELECT count(*) - count(distinct id) FROM gift")
+	return max(0, len(ids)-int(n)), int(extra), err
+}
+
+// repeatUntilDone sends a write until it is acknowledged, as a caller would.
+func repeatUntilDone(c *caller, id string, keyed bool) bool {
+	sql := "INSERT INTO gift VALUES ('" + id + "', 1)"
+	if keyed {
+		sql += " /*pollendoor.requestId='" + id + "'*/"
+	}
+	for range 50 {
+		if c.exec(context.Background(), sql) == nil {
+			return true
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return false
+}
--- /dev/null
+++ b/bench/faults.go
@@ -0,0 +1,367 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/fakes"
+	"github.com/pollendoor/pollendoor/store"
+)
+
+// drain stops VMs as planned under load, and has a target leave.
+func drain(ctx context.Context, c Config) (*Result, error) {
+	r := newResult("drain")
+	r.Targets["cut"], r.Targets["workAtLeaving"] = "0", "0"
+	l, err := StartLab(ctx, LabOptions{VMsPerZone: 3, Log: c.Log})
+	if err != nil {
+		return nil, err
+	}
+	defer l.Stop()
+	first := &caller{lab: l, team: "festa", route: firstGroup}
+	defer first.close(ctx)
+	if err := first.exec(ctx, table); err != nil {
+		return nil, err
+	}
+	run, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var cut, done, again atomic.Int64
+	var example atomic.Value
+	var wg sync.WaitGroup
+	for i := range 18 {
+		wg.Go(func() { runThroughStops(run, l, i, &cut, &done, &again, &example) })
+	}
+	time.Sleep(500 * time.Millisecond)
+	stops := c.trials(3)
+	for range stops {
+		nodes := l.Nodes()
+		n := nodes[len(nodes)/2]
+		d, end := context.WithTimeout(ctx, 5*time.Second)
+		l.unlist(n) // the balancer stops sending new callers
+		n.Drain(d)
+		end()
+		l.Remove(n)
+		time.Sleep(300 * time.Millisecond)
+	}
+	leaving, work, err := leave(ctx, l)
+	cancel()
+	wg.Wait()
+	if err != nil {
+		return nil, err
+	}
+	r.Settings["stops"], r.Settings["callers"], r.Settings["leavingTarget"] = stops, 18, leaving
+	r.Figures["cut"], r.Figures["done"], r.Figures["reconnects"] = float64(cut.Load()), float64(done.Load()), float64(again.Load())
+	r.Figures["workAtLeaving"] = float64(work)
+	note := ""
+	if t := example.Load(); t != nil {
+		note = t.(string)
+	}
+	r.violate(int(cut.Load()), "requests cut: "+note)
+	r.violate(int(work), "work was sent to a leaving target")
+	return r, nil
+}
+
+// runThroughStops writes in transactions and alone. A VM that says it stops,
+// while the session is idle, is left for another one.
+func runThroughStops(ctx context.Context, l *Lab, i int, cut, done, again *atomic.Int64, example *atomic.Value) {
+	me := &caller{lab: l, team: "festa", route: firstGroup, vm: i}
+	defer func() { me.close(context.Background()) }()
+	n := 0
+	for ctx.Err() == nil {
+		n++
+		// Between requests a session is idle now and then, as callers' are.
+		time.Sleep(time.Duration(5+(n%8)*60) * time.Millisecond)
+		if me.conn != nil && closedWhileIdle(me) {
+			again.Add(1)
+			me.move(context.Background(), me.vm+1)
+		}
+		err := me.exec(context.Background(), fmt.Sprintf("INSERT INTO gift VALUES ('%d-%d', 1)", i, n))
+		switch {
+		case err == nil:
+			done.Add(1)
+		case code(err) == pollendoor.CodeShutdown && me.conn == nil:
+			// Refused at login: nothing was asked yet.
+			again.Add(1)
+			me.move(context.Background(), me.vm+1)
+		default:
+			cut.Add(1)
+			example.Store(err.Error())
+			me.move(context.Background(), me.vm+1)
+		}
+	}
+}
+
+// closedWhileIdle looks, as connection pools do, for a close before a request is
+// sent.
+func closedWhileIdle(c *caller) bool {
+	if c.conn.IsClosed() {
+		return true
+	}
+	return c.conn.PgConn().CheckConn() != nil
+}
+
+// unlist marks a VM as leaving in the platform's list.
+func (l *Lab) unlist(gone interface{ PeerVM() pollendoor.VM }) {
+	var list []pollendoor.VM
+	for _, n := range l.Nodes() {
+		vm := n.PeerVM()
+		vm.Leaving = vm.Name == gone.PeerVM().Name
+		list = append(list, vm)
+	}
+	l.Platform.SetVMs(list)
+}
+
+// leave marks the primary as leaving and counts the work it gets later than two
+// seconds after.
+func leave(ctx context.Context, l *Lab) (string, int64, error) {
+	p := l.Group(firstGroup).Primary()
+	s := &store.Client{Base: l.Platform.Addr()}
+	for range 20 {
+		o, err := s.Get(ctx, "groups/"+firstGroup)
+		if err != nil {
+			return "", 0, err
+		}
+		var rec pollendoor.GroupRecord
+		if err := json.Unmarshal(o.Value, &rec); err != nil {
+			return "", 0, err
+		}
+		for i := range rec.Targets {
+			rec.Targets[i].Leaving = rec.Targets[i].Name == p.Name()
+		}
+		raw, err := json.Marshal(rec)
+		if err != nil {
+			return "", 0, err
+		}
+		if _, err = s.Put(ctx, o.Name, o.Version, raw); err == nil {
+			break
+		}
+	}
+	time.Sleep(2500 * time.Millisecond) // 2 s, and what a change takes to be seen
+	before := p.Statements()
+	time.Sleep(time.Second)
+	return p.Name(), p.Statements() - before, nil
+}
+
+// outage runs teams within their rates while the store is down, for longer than
+// key data may be old.
+func outage(ctx context.Context, c Config) (*Result, error) {
+	r := newResult("outage")
+	r.Targets["served"] = ">= 0.99"
+	teams := []Team{{Name: "festa", Rate: 400, Burst: 200}, {Name: "loja", Rate: 400, Burst: 200}}
+	l, err := StartLab(ctx, LabOptions{VMsPerZone: 3, Teams: teams, Log: c.Log})
+	if err != nil {
+		return nil, err
+	}
+	defer l.Stop()
+	first := &caller{lab: l, team: "festa", route: firstGroup}
+	defer first.close(ctx)
+	if err := first.exec(ctx, table); err != nil {
+		return nil, err
+	}
+	time.Sleep(1500 * time.Millisecond)
+	l.Platform.SetDown(true)
+	defer l.Platform.SetDown(false)
+	duration := c.duration(20 * time.Second)
+	run, cancel := context.WithTimeout(ctx, duration)
+	defer cancel()
+	check := newLedgerCheck()
+	var served, all atomic.Int64
+	var example atomic.Value
+	var wg sync.WaitGroup
+	for i := range 36 {
+		team := teams[i%2].Name
+		wg.Go(func() {
+			me := &caller{lab: l, team: team, route: firstGroup, vm: i}
+			defer me.close(context.Background())
+			n := 0
+			pace(run, 60*time.Millisecond, func(time.Time) {
+				n++
+				id := fmt.Sprintf("%d-%d", i, n)
+				var err error
+				if n%4 == 0 {
+					err = me.exec(context.Background(), "INSERT INTO gift VALUES ('"+id+"', 1)")
+					check.note(id, err, pollendoor.Position{})
+				} else {
+					_, err = me.number(context.Background(), "SELECT count(*) FROM gift WHERE id = $1", id)
+				}
+				all.Add(1)
+				if err == nil {
+					served.Add(1)
+				} else {
+					example.Store(err.Error())
+				}
+			})
+		})
+	}
+	wg.Wait()
+	r.Settings["seconds"], r.Settings["vms"] = duration.Seconds(), 9
+	r.Figures["served"] = float64(served.Load()) / float64(max(1, all.Load()))
+	if t := example.Load(); t != nil {
+		r.Notes = append(r.Notes, "refused, for instance: "+t.(string))
+	}
+	l.Platform.SetDown(false)
+	return r, check.audit(ctx, first, r, nil, 0)
+}
+
+// cutoff cuts a zone off from all others and from the platform: the one that
+// has the primary.
+func cutoff(ctx context.Context, c Config) (*Result, error) {
+	r := newResult("cutoff")
+	r.Targets["mainWrites"], r.Targets["zoneReadsYoung"], r.Targets["zoneOpenReadsOld"] = ">= 0.9", ">= 0.99", ">= 0.99"
+	l, err := StartLab(ctx, LabOptions{VMsPerZone: 3, Groups: []string{firstGroup, "potes/aberto"}, Log: c.Log})
+	if err != nil {
+		return nil, err
+	}
+	defer l.Stop()
+	first := &caller{lab: l, team: "festa", route: firstGroup}
+	defer first.close(ctx)
+	if err := first.exec(ctx, table); err != nil {
+		return nil, err
+	}
+	if err := l.openRoute(ctx, "potes/aberto"); err != nil {
+		return nil, err
+	}
+	zone := l.Group(firstGroup).Primary().Zone()
+	var inside, outside []int
+	for i, n := range l.Nodes() {
+		if n.PeerVM().Zone == zone {
+			inside = append(inside, i)
+		} else {
+			outside = append(outside, i)
+		}
+	}
+	first.move(ctx, outside[0])
+	l.CutZone(zone, true)
+	check := newLedgerCheck()
+	young := c.duration(8 * time.Second)
+	z, m := l.cutPhase(ctx, inside, outside, young, "young", check)
+	old := 6 * time.Second
+	open := l.openReads(ctx, inside, old)
+	l.CutZone(zone, false)
+	if err := l.waitWhole(ctx); err != nil {
+		return nil, errors.Wrap(err, "after the cut")
+	}
+	r.Settings["youngSeconds"], r.Settings["oldSeconds"] = young.Seconds(), old.Seconds()
+	r.Figures["zoneReadsYoung"], r.Figures["mainWrites"], r.Figures["zoneOpenReadsOld"] = z, m, open
+	g, _ := l.Nodes()[outside[0]].Host().Group(firstGroup)
+	rec, _ := g.Record()
+	return r, check.audit(ctx, first, r, rec.Lineage, rec.Term)
+}
+
+func (l *Lab) openRoute(ctx context.Context, name string) error {
+	_, v := l.Nodes()[0].Branch("/services/" + name)
+	if _, err := l.Nodes()[0].Edit(ctx, edit("/services/"+name, "open: true", v)); err != nil {
+		return err
+	}
+	time.Sleep(time.Second)
+	return nil
+}
+
+// cutPhase reads within the zone and writes on both sides of the cut. It returns
+// the shares of the zone's reads and of the others' writes that were served.
+func (l *Lab) cutPhase(ctx context.Context, inside, outside []int, d time.Duration, tag string, check *ledgerCheck) (zoneReads, mainWrites float64) {
+	run, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	var reads, readsOK, writes, writesOK atomic.Int64
+	var wg sync.WaitGroup
+	side := func(vms []int, isInside bool) {
+		for _, vm := range vms {
+			wg.Go(func() {
+				r := &caller{lab: l, team: "festa", route: firstGroup, vm: vm, extra: "&statement_timeout=3000"}
+				w := &caller{lab: l, team: "festa", route: firstGroup, vm: vm, extra: "&statement_timeout=3000"}
+				defer r.close(context.Background())
+				defer w.close(context.Background())
+				n := 0
+				pace(run, 50*time.Millisecond, func(time.Time) {
+					n++
+					if isInside {
+						reads.Add(1)
+						if _, err := r.number(context.Background(), "SELECT count(*) FROM gift WHERE amount > 1"); err == nil {
+							readsOK.Add(1)
+						}
+						if n%20 != 0 {
+							return
+						}
+					}
+					id := fmt.Sprintf("%s-%d-%d", tag, vm, n)
+					err := w.exec(context.Background(), "INSERT INTO gift VALUES ('"+id+"', 1)")
+					check.note(id, err, pollendoor.Position{})
+					if !isInside {
+						writes.Add(1)
+						if err == nil {
+							writesOK.Add(1)
+						}
+					}
+				})
+			})
+		}
+	}
+	side(inside, true)
+	side(outside, false)
+	wg.Wait()
+	return float64(readsOK.Load()) / float64(max(1, reads.Load())), float64(writesOK.Load()) / float64(max(1, writes.Load()))
+}
+
+// openReads reads an open route within the zone once key data there is old.
+func (l *Lab) openReads(ctx context.Context, vms []int, d time.Duration) float64 {
+	run, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	var all, ok atomic.Int64
+	var wg sync.WaitGroup
+	for _, vm := range vms {
+		wg.Go(func() {
+			me := &caller{lab: l, team: "festa", route: "potes/aberto", vm: vm, extra: "&statement_timeout=3000"}
+			defer me.close(context.Background())
+			pace(run, 50*time.Millisecond, func(time.Time) {
+				all.Add(1)
+				if _, err := me.number(context.Background(), "SELECT 1"); err == nil {
+					ok.Add(1)
+				}
+			})
+		})
+	}
+	wg.Wait()
+	return float64(ok.Load()) / float64(max(1, all.Load()))
+}
+
+// ackCost measures a write's latency under each acknowledgement rule.
+func ackCost(ctx context.Context, c Config) (*Result, error) {
+	r := newResult("ack")
+	for _, rule := range []pollendoor.AckRule{pollendoor.AckBlind, pollendoor.AckReplicated} {
+		l, err := StartLab(ctx, LabOptions{Settings: "ack: " + string(rule), Target: fakes.TargetOptions{ShipDelay: time.Millisecond}, Log: c.Log})
+		if err != nil {
+			return nil, err
+		}
+		h, err := writeLatency(ctx, l, c.duration(3*time.Second))
+		l.Stop()
+		if err != nil {
+			return nil, err
+		}
+		r.Figures[string(rule)+"P50Ms"], r.Figures[string(rule)+"P99Ms"] = h.ms(50), h.ms(99)
+	}
+	r.Settings["shipDelayMs"] = 1
+	return r, nil
+}
+
+func writeLatency(ctx context.Context, l *Lab, d time.Duration) (latencies, error) {
+	h := newLatencies()
+	me := &caller{lab: l, team: "festa", route: firstGroup}
+	defer me.close(ctx)
+	if err := me.exec(ctx, table); err != nil {
+		return h, err
+	}
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		start := time.Now()
+		if err := me.exec(ctx, "INSERT INTO gift VALUES ('x', $1)", 1); err != nil {
+			return h, err
+		}
+		h.add(time.Since(start))
+	}
+	return h, nil
+}
--- a/bench/lab.go
+++ b/bench/lab.go
@@ -110,6 +110,7 @@
 			return err
 		}
 		l.Groups[name] = g
+		g.Each(func(t *fakes.Target) { t.SetCut(func(zone string) bool { return (*l.cuts.Load())[zone] }) })
 		if err := g.Register(ctx, s); err != nil {
 			return err
 		}
@@ -218,8 +219,8 @@
 	return ok && other != zone && (cuts[zone] || cuts[other.(string)])
 }
 
-// CutZone cuts a zone's VMs off from the platform and from other zones' VMs, or
-// connects them again.
+// CutZone cuts a zone's VMs and targets off from the platform and from other
+// zones, or connects them again.
 func (l *Lab) CutZone(zone string, cut bool) {
 	next := map[string]bool{zone: cut}
 	l.cuts.Store(&next)
--- /dev/null
+++ b/bench/result.go
@@ -0,0 +1,115 @@
+package bench
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rs/zerolog"
+)
+
+// Config says how an experiment is run.
+type Config struct {
+	Seed     uint64
+	Duration time.Duration // of each phase; zero for the experiment's own
+	Trials   int           // zero for the experiment's own
+	Log      zerolog.Logger
+}
+
+func (c Config) duration(own time.Duration) time.Duration {
+	if c.Duration > 0 {
+		return c.Duration
+	}
+	return own
+}
+
+func (c Config) trials(own int) int {
+	if c.Trials > 0 {
+		return c.Trials
+	}
+	return own
+}
+
+// Result is the outcome of one experiment.
+type Result struct {
+	Experiment string             `json:"experiment"`
+	Settings   map[string]any     `json:"settings"`
+	Figures    map[string]float64 `json:"figures"`
+	Targets    map[string]string  `json:"targets"`
+	Violations int                `json:"violations"`
+	Notes      []string           `json:"notes,omitempty"`
+}
+
+func newResult(name string) *Result {
+	return &Result{Experiment: name, Settings: make(map[string]any), Figures: make(map[string]float64), Targets: make(map[string]string)}
+}
+
+// violate counts broken promises, with a note of the first few.
+func (r *Result) violate(n int, note string) {
+	if n == 0 {
+		return
+	}
+	r.Violations += n
+	if len(r.Notes) < 10 {
+		r.Notes = append(r.Notes, note)
+	}
+}
+
+// Experiment is one experiment by name.
+type Experiment struct {
+	Name string
+	Help string
+	Run  func(ctx context.Context, c Config) (*Result, error)
+}
+
+// Experiments returns all experiments in the order of "all".
+func Experiments() []Experiment {
+	return []Experiment{
+		{"overhead", "latency and allocations through one VM against straight to the target", overhead},
+		{"ack", "cost of acknowledging replicated writes against blind ones", ackCost},
+		{"failover", "gap, lost, doubled and superseded writes when primaries are lost", failover},
+		{"reads", "share of reads at replicas and their freshness", reads},
+		{"fairness", "worst-served team with one team at five times its due", fairness},
+		{"limits", "rate and burst over the fleet, and wrongful refusals", limits},
+		{"keys", "time until a withdrawn key is dead", keysExperiment},
+		{"settings", "time until a change is in force everywhere", settingsExperiment},
+		{"drain", "requests cut by planned stops, work at leaving targets", drain},
+		{"outage", "service while the platform's store is down", outage},
+		{"cutoff", "service of a zone that is cut off", cutoff},
+		{"dedup", "doubled and lost writes with and without request ids", dedupExperiment},
+		{"control", "control traffic, CPU and memory per VM by fleet size", control},
+	}
+}
+
+// latencies is a histogram of durations in microseconds.
+type latencies struct{ h *hdrhistogram.Histogram }
+
+func newLatencies() latencies {
+	return latencies{h: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)}
+}
+
+func (l latencies) add(d time.Duration) {
+	_ = l.h.RecordValue(max(1, d.Microseconds())) // a minute is the most that is kept
+}
+
+func (l latencies) ms(quantile float64) float64 {
+	return float64(l.h.ValueAtQuantile(quantile)) / 1000
+}
+
+// windows returns the largest ratio of events to what is allowed, burst +
+// rate*w, over all windows of at least a second.
+func windows(at []time.Time, rate, burst float64) float64 {
+	sort.Slice(at, func(i, j int) bool { return at[i].Before(at[j]) })
+	worst := 0.0
+	for i := 0; i < len(at); i++ {
+		for j := i; j < len(at); j += max(1, (len(at)-i)/200) {
+			w := at[j].Sub(at[i])
+			if w < time.Second {
+				continue
+			}
+			worst = max(worst, float64(j-i+1)/(burst+rate*w.Seconds()))
+		}
+	}
+	return worst
+}
--- /dev/null
+++ b/bench/traffic.go
@@ -0,0 +1,360 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/fakes"
+	"github.com/pollendoor/pollendoor/node"
+	"github.com/pollendoor/pollendoor/tree"
+)
+
+// reads runs guests that read and contributors that write and read back, from
+// VM to VM, at a small and a large lag.
+func reads(ctx context.Context, c Config) (*Result, error) {
+	r := newResult("reads")
+	r.Targets["replicaShare50ms"] = ">= 0.95"
+	r.Settings["callers"], r.Settings["readsPerWrite"] = 24, 50
+	for _, lag := range []time.Duration{50 * time.Millisecond, 2 * time.Second} {
+		share, stale, done, err := readPhase(ctx, c, lag)
+		if err != nil {
+			return nil, err
+		}
+		name := lag.String()
+		r.Figures["replicaShare"+name], r.Figures["stale"+name], r.Figures["reads"+name] = share, float64(stale), float64(done)
+		r.violate(stale, fmt.Sprintf("%d reads at a lag of %s did not show the session's own write", stale, name))
+	}
+	return r, nil
+}
+
+func readPhase(ctx context.Context, c Config, lag time.Duration) (share float64, stale, done int, err error) {
+	l, err := StartLab(ctx, LabOptions{Target: fakes.TargetOptions{Slots: 3, Connections: 20, Lag: lag}, Log: c.Log})
+	if err != nil {
+		return 0, 0, 0, err
+	}
+	defer l.Stop()
+	first := &caller{lab: l, team: "festa", route: firstGroup}
+	defer first.close(ctx)
+	if err := first.exec(ctx, "CREATE TABLE pot (id BIGINT PRIMARY KEY, n BIGINT)"); err != nil {
+		return 0, 0, 0, err
+	}
+	for i := range 24 {
+		if err := first.exec(ctx, "INSERT INTO pot VALUES ($1, 0)", i); err != nil {
+			return 0, 0, 0, err
+		}
+	}
+	time.Sleep(lag + 100*time.Millisecond)
+	before := l.readCounts()
+	run, cancel := context.WithTimeout(ctx, c.duration(5*time.Second))
+	defer cancel()
+	var badReads, all atomic.Int64
+	var failed atomic.Value
+	var wg sync.WaitGroup
+	for i := range 24 {
+		wg.Go(func() {
+			if err := readAndWrite(run, l, i, first.token, &badReads, &all); err != nil {
+				failed.Store(err.Error())
+			}
+		})
+	}
+	wg.Wait()
+	if text := failed.Load(); text != nil {
+		return 0, 0, 0, errors.Newf("caller: %s", text)
+	}
+	after := l.readCounts()
+	share = float64(after[1]-before[1]) / float64(max(1, after[0]-before[0]))
+	return share, int(badReads.Load()), int(all.Load()), nil
+}
+
+// readAndWrite is one session: 50 reads to a write, each write read back on
+// another VM.
+func readAndWrite(ctx context.Context, l *Lab, i int, token string, stale, all *atomic.Int64) error {
+	me := &caller{lab: l, team: "festa", route: firstGroup, vm: i, token: token}
+	defer me.close(context.Background())
+	written := int64(0)
+	var failed error
+	step := i * 2
+	pace(ctx, 10*time.Millisecond, func(time.Time) {
+		step++
+		if step%51 == 0 {
+			if err := me.exec(context.Background(), "UPDATE pot SET n = n + 1 WHERE id = $1", i); err != nil {
+				failed = err
+				return
+			}
+			written++
+			me.move(context.Background(), me.vm+1)
+			return
+		}
+		n, err := me.number(context.Background(), "SELECT n FROM pot WHERE id = $1", i)
+		if err != nil {
+			failed = err
+			return
+		}
+		all.Add(1)
+		if n < written {
+			stale.Add(1)
+		}
+	})
+	return failed
+}
+
+// readCounts returns the reads so far, and those that replicas served.
+func (l *Lab) readCounts() [2]int64 {
+	var sum [2]int64
+	for _, n := range l.Nodes() {
+		s, err := n.Summary()
+		if err != nil {
+			continue
+		}
+		for _, slots := range s.Slots {
+			for _, k := range slots {
+				sum[0] += k.Reads
+				sum[1] += k.Replica
+			}
+		}
+	}
+	return sum
+}
+
+// fairness has one team send five times its due at targets that can't serve it
+// all.
+func fairness(ctx context.Context, c Config) (*Result, error) {
+	const due = 100.0 // statements a second
+	r := newResult("fairness")
+	r.Targets["worstShare"] = ">= 0.98"
+	teams := []Team{{Name: "heavy", Rate: 1e6, Burst: 1e6}}
+	for i := range 7 {
+		teams = append(teams, Team{Name: fmt.Sprintf("team%d", i), Rate: 1e6, Burst: 1e6})
+	}
+	// Two replicas of 3 slots at 6 ms serve 1,000 statements a second; offered
+	// are 1,200, of which the heavy team's 500.
+	l, err := StartLab(ctx, LabOptions{Teams: teams, Target: fakes.TargetOptions{Slots: 3, Connections: 20, Service: 6 * time.Millisecond}, Log: c.Log})
+	if err != nil {
+		return nil, err
+	}
+	defer l.Stop()
+	r.Settings["due"], r.Settings["teams"], r.Settings["capacity"] = due, len(teams), 1000
+	duration := c.duration(6 * time.Second)
+	served, offered := make([]atomic.Int64, len(teams)), make([]atomic.Int64, len(teams))
+	late := newLatencies()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	run, cancel := context.WithTimeout(ctx, duration)
+	defer cancel()
+	for t := range teams {
+		callers := 10
+		if t == 0 {
+			callers = 50
+		}
+		for i := range callers {
+			wg.Go(func() {
+				me := &caller{lab: l, team: teams[t].Name, route: firstGroup, vm: i, extra: "&statement_timeout=1000"}
+				defer me.close(context.Background())
+				time.Sleep(rand.N(100 * time.Millisecond))
+				pace(run, time.Duration(float64(callers)/due*float64(time.Second))*1/time.Duration(max(1, callers/10)), func(at time.Time) {
+					offered[t].Add(1)
+					if _, err := me.number(context.Background(), "SELECT 1"); err == nil {
+						served[t].Add(1)
+						if t > 0 {
+							mu.Lock()
+							late.add(time.Since(at))
+							mu.Unlock()
+						}
+					}
+				})
+			})
+		}
+	}
+	wg.Wait()
+	worst := 1.0
+	for t := 1; t < len(teams); t++ {
+		worst = min(worst, float64(served[t].Load())/(due*duration.Seconds()))
+	}
+	r.Figures["worstShare"] = worst
+	r.Figures["heavyShare"] = float64(served[0].Load()) / (due * duration.Seconds())
+	r.Figures["othersP99Ms"] = late.ms(99)
+	return r, nil
+}
+
+// limits runs a team within its rate through a skewed balancer and the loss of
+// a VM, and one at three times its rate.
+func limits(ctx context.Context, c Config) (*Result, error) {
+	const rate, burst = 300.0, 150.0
+	r := newResult("limits")
+	r.Targets["mostAdmitted"], r.Targets["wrongfulRefusals"] = "<= 1.0", "<= 0.001"
+	teams := []Team{{Name: "within", Rate: rate, Burst: burst}, {Name: "over", Rate: rate, Burst: burst}}
+	l, err := StartLab(ctx, LabOptions{VMsPerZone: 3, Teams: teams, Target: fakes.TargetOptions{Connections: 60}, Log: c.Log})
+	if err != nil {
+		return nil, err
+	}
+	defer l.Stop()
+	duration := c.duration(16 * time.Second)
+	r.Settings["rate"], r.Settings["burst"], r.Settings["vms"], r.Settings["offered"] = rate, burst, 9, 0.9
+	time.Sleep(2 * time.Second)
+	run, cancel := context.WithTimeout(ctx, duration)
+	defer cancel()
+	var favorite atomic.Int64 // VM that gets most of the traffic
+	var mu sync.Mutex
+	admitted := map[string][]time.Time{}
+	var refused, total atomic.Int64
+	var wg sync.WaitGroup
+	send := func(team string, callers int, each time.Duration) {
+		for i := range callers {
+			wg.Go(func() {
+				// One session to the favorite of the moment, one to another VM.
+				near, far := &caller{lab: l, team: team, route: firstGroup, vm: i}, &caller{lab: l, team: team, route: firstGroup, vm: i}
+				defer near.close(context.Background())
+				defer far.close(context.Background())
+				time.Sleep(rand.N(each))
+				pace(run, each, func(time.Time) {
+					me := far
+					if rand.IntN(10) < 7 {
+						me = near
+						if f := int(favorite.Load()); me.vm != f {
+							me.move(context.Background(), f)
+						}
+					}
+					_, err := me.number(context.Background(), "SELECT 1")
+					if team == "within" {
+						total.Add(1)
+					}
+					if err == nil {
+						mu.Lock()
+						admitted[team] = append(admitted[team], time.Now())
+						mu.Unlock()
+					} else if team == "within" && code(err) == pollendoor.CodeRateExceeded {
+						refused.Add(1)
+					}
+				})
+			})
+		}
+	}
+	const callers = 27
+	send("within", callers, time.Duration(callers/(0.9*rate)*float64(time.Second)))
+	send("over", callers, time.Duration(callers/(3*rate)*float64(time.Second)))
+	nodes := l.Nodes()
+	for step := range 4 {
+		time.Sleep(duration / 5)
+		favorite.Store(int64(step + 1))
+		if step == 1 {
+			// Lost at once; the list lags.
+			lost := nodes[len(nodes)-1]
+			lost.Stop()
+			time.AfterFunc(time.Second, func() { l.Remove(lost) })
+		}
+	}
+	wg.Wait()
+	most := max(windows(admitted["over"], rate, burst), windows(admitted["within"], rate, burst))
+	r.Figures["mostAdmitted"] = most
+	r.Figures["wrongfulRefusals"] = float64(refused.Load()) / float64(max(1, total.Load()))
+	r.Figures["statements"] = float64(total.Load())
+	r.Figures["overServed"] = float64(len(admitted["over"])) / (rate * duration.Seconds())
+	if most > 1 {
+		r.violate(1, "a team got more than its rate and burst")
+	}
+	return r, nil
+}
+
+// keysExperiment withdraws keys that callers are using on every VM.
+func keysExperiment(ctx context.Context, c Config) (*Result, error) {
+	r := newResult("keys")
+	r.Targets["lastUseP99Ms"] = "<= 2000"
+	l, err := StartLab(ctx, LabOptions{VMsPerZone: 3, Log: c.Log})
+	if err != nil {
+		return nil, err
+	}
+	defer l.Stop()
+	uses, trials := newLatencies(), c.trials(8)
+	r.Settings["trials"], r.Settings["vms"] = trials, 9
+	for i := range trials {
+		id := fmt.Sprintf("t%d", i)
+		a, err := l.Nodes()[0].CreateKey(ctx, node.KeyRequest{Team: "festa", ID: id, By: "bench"})
+		if err != nil {
+			return nil, err
+		}
+		left, err := useUntilRefused(ctx, l, i, id, a, uses)
+		if err != nil {
+			return nil, err
+		}
+		r.violate(left, fmt.Sprintf("%d connections outlived their key by 10 s", left))
+	}
+	r.Figures["lastUseP50Ms"], r.Figures["lastUseP99Ms"] = uses.ms(50), uses.ms(99)
+	return r, nil
+}
+
+func useUntilRefused(ctx context.Context, l *Lab, trial int, id string, a node.KeyAnswer, uses latencies) (int, error) {
+	time.Sleep(700 * time.Millisecond) // the new key spreads
+	var accepted atomic.Int64
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	left := 0
+	for vm := range l.Nodes() {
+		wg.Go(func() {
+			url := l.URL(vm, "festa", firstGroup)
+			last, alive := useKey(ctx, url, a, &accepted)
+			mu.Lock()
+			defer mu.Unlock()
+			if alive {
+				left++
+			}
+			if t := accepted.Load(); !last.IsZero() && t > 0 {
+				uses.add(max(time.Microsecond, last.Sub(time.Unix(0, t))))
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	err := l.Nodes()[trial%9].WithdrawKey(ctx, node.KeyRequest{Team: "festa", ID: id})
+	accepted.Store(time.Now().UnixNano())
+	wg.Wait()
+	return left, err
+}
+
+// settingsExperiment changes branches and waits until each VM has the change in
+// force, watching that none goes back.
+func settingsExperiment(ctx context.Context, c Config) (*Result, error) {
+	r := newResult("settings")
+	r.Targets["inForceP99Ms"], r.Targets["reversions"] = "<= 2000", "0"
+	l, err := StartLab(ctx, LabOptions{VMsPerZone: 3, Log: c.Log})
+	if err != nil {
+		return nil, err
+	}
+	defer l.Stop()
+	times, trials := newLatencies(), c.trials(20)
+	r.Settings["trials"], r.Settings["vms"] = trials, 9
+	reversions := 0
+	seen := make(map[string]uint64)
+	for i := range trials {
+		l.Platform.LoseEveryOther(i%2 == 1)
+		e := tree.Edit{Path: "/teams", YAML: fmt.Sprintf("weight: %d", i+1), By: "bench", Based: uint64(i)}
+		if _, err := l.Nodes()[i%9].Edit(ctx, e); err != nil {
+			return nil, err
+		}
+		accepted := time.Now()
+		for waiting := true; waiting; time.Sleep(2 * time.Millisecond) {
+			waiting = false
+			for _, n := range l.Nodes() {
+				v := n.SettingsVersion("/teams")
+				name := n.PeerVM().Name
+				if v < seen[name] {
+					reversions++
+				}
+				seen[name] = v
+				waiting = waiting || v <= uint64(i)
+			}
+			if time.Since(accepted) > 30*time.Second {
+				return nil, errors.New("a change did not come into force")
+			}
+		}
+		times.add(time.Since(accepted))
+	}
+	r.Figures["inForceP50Ms"], r.Figures["inForceP99Ms"], r.Figures["reversions"] = times.ms(50), times.ms(99), float64(reversions)
+	r.violate(reversions, "a VM went back to an older version")
+	return r, nil
+}
--- a/conf/conf.go
+++ b/conf/conf.go
@@ -57,8 +57,12 @@
 
 func (c Config) check() error {
 	for _, f := range []struct{ name, value string }{
-		{"vm", c.VM}, {"zone", c.Zone}, {"platform", c.Platform},
-		{"secrets.peers", c.Secrets.Peers}, {"secrets.admin", c.Secrets.Admin}, {"secrets.user", c.Secrets.User},
+		{"vm", c.VM},
+		{"zone", c.Zone},
+		{"platform", c.Platform},
+		{"secrets.peers", c.Secrets.Peers},
+		{"secrets.admin", c.Secrets.Admin},
+		{"secrets.user", c.Secrets.User},
 	} {
 		if f.value == "" {
 			return errors.Newf("field %s is missing", f.name)
--- a/fakes/exec.go
+++ b/fakes/exec.go
@@ -45,6 +45,9 @@
 		return nil, err
 	}
 	defer s.release()
+	if !s.control {
+		s.target.done.Add(1)
+	}
 	if c.Kind == route.Read {
 		return s.read(st)
 	}
--- a/fakes/ship.go
+++ b/fakes/ship.go
@@ -53,7 +53,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	if conn == nil {
-		c, err := pgwire.Dial(ctx, pgwire.Login{Addr: source, User: t.opt.User, Password: t.opt.Password, App: pgwire.ControlApp})
+		c, err := pgwire.Dial(ctx, pgwire.Login{Addr: source, User: t.opt.User, Password: t.opt.Password, App: pgwire.ControlApp + "@" + t.opt.Zone})
 		if err != nil {
 			return nil, err
 		}
--- a/fakes/target.go
+++ b/fakes/target.go
@@ -51,6 +51,9 @@
 	frozen atomic.Bool  // answers nothing, as a stopped process
 	killed atomic.Bool
 	conns  atomic.Int64
+	done   atomic.Int64 // callers' statements
+	cut    atomic.Pointer[func(zone string) bool]
+	cutOwn atomic.Bool
 
 	writer chan struct{} // holds one value while a write transaction is open
 	epoch  atomic.Int64  // grows when open transactions lose their ground
@@ -115,6 +118,16 @@
 // Thaw ends Freeze.
 func (t *Target) Thaw() { t.frozen.Store(false) }
 
+// Statements returns how many statements callers have run here.
+func (t *Target) Statements() int64 { return t.done.Load() }
+
+// SetCut makes the target answer nothing to those in zones for which cut holds,
+// as when the network between is cut.
+func (t *Target) SetCut(cut func(zone string) bool) { t.cut.Store(&cut) }
+
+// CutOwn makes SetCut hold for the target's own zone too, or not.
+func (t *Target) CutOwn(on bool) { t.cutOwn.Store(on) }
+
 // Start listens and serves until Kill.
 func (t *Target) Start() error {
 	addr := t.opt.Addr
--- a/fakes/wire.go
+++ b/fakes/wire.go
@@ -46,6 +46,7 @@
 	pid     uint32
 	secret  []byte
 	control bool
+	zone    string // that the other end says it is in
 	cancel  chan struct{}
 
 	stmts   map[string]prepared
@@ -118,13 +119,20 @@
 	}
 }
 
-// waitThaw blocks while the target is frozen, unless it is killed.
+// waitThaw blocks while the target is frozen or cut off from the session's zone,
+// unless it is killed.
 func (s *session) waitThaw() {
-	for s.target.frozen.Load() && !s.target.killed.Load() {
+	for (s.target.frozen.Load() || s.cutOff()) && !s.target.killed.Load() {
 		time.Sleep(5 * time.Millisecond)
 	}
 }
 
+func (s *session) cutOff() bool {
+	f := s.target.cut.Load()
+	own := s.zone == s.target.opt.Zone && !s.target.cutOwn.Load()
+	return f != nil && !own && ((*f)(s.zone) || (*f)(s.target.opt.Zone))
+}
+
 func (s *session) startup() (bool, error) {
 	m, err := s.back.ReceiveStartupMessage()
 	if err != nil {
@@ -143,7 +151,9 @@
 
 func (s *session) login(m *pgproto3.StartupMessage) (bool, error) {
 	t := s.target
-	s.control = m.Parameters["application_name"] == pgwire.ControlApp
+	app, zone, _ := strings.Cut(m.Parameters["application_name"], "@")
+	s.control, s.zone = app == pgwire.ControlApp, zone
+	s.waitThaw()
 	s.back.Send(&pgproto3.AuthenticationCleartextPassword{})
 	if err := s.back.Flush(); err != nil {
 		return false, err
--- a/home/ack.go
+++ b/home/ack.go
@@ -48,3 +48,36 @@
 	}
 	return false
 }
+
+// awaitStable waits until all that a read at the primary may have seen is known
+// to outlive it: what the primary has after the read was at a replica at some
+// time. It reports false if that did not happen before ctx ended.
+func (g *Group) awaitStable(ctx context.Context, primary string, term pollendoor.Term) bool {
+	read := time.Now()
+	var upTo uint64
+	return g.await(ctx, func(v *view) bool {
+		if v.rec.Term != term {
+			return true // decided below
+		}
+		m := v.member(primary)
+		if m == nil {
+			return false
+		}
+		if s := m.seen.Load(); upTo == 0 && s != nil && s.Asked.After(read) {
+			upTo = s.Status.Index
+		}
+		return upTo > 0 && g.attestedIndex(v) >= upTo
+	}) && g.view.Load().rec.Term == term
+}
+
+// attestedIndex returns the newest index that a replica of the record's term
+// has been seen to hold.
+func (g *Group) attestedIndex(v *view) uint64 {
+	var most uint64
+	for _, m := range v.members {
+		if s := m.seen.Load(); s != nil && s.Status.Role == pollendoor.Replica && s.Status.Term == v.rec.Term {
+			most = max(most, s.Status.Index)
+		}
+	}
+	return most
+}
--- a/home/link.go
+++ b/home/link.go
@@ -20,6 +20,8 @@
 	member   *member
 	conn     *pool.Conn
 	life     context.Context // of the target, as of the start
+	primary  bool            // the member led the record's term at the start
+	term     pollendoor.Term // of the record at the start
 	since    time.Time
 	implicit bool // a batch ended in Flush outside of a transaction block
 }
@@ -171,9 +173,10 @@
 	if err != nil {
 		return ended{result: retry.NotSent, cause: err.Error()}
 	}
+	p.primary, p.term = m.addr.Name == v.rec.Primary, v.rec.Term
 	e := l.send(ctx, p, x, r)
 	e.answer.Target = m.addr.Name
-	e.answer.Replica = m.addr.Name != v.rec.Primary
+	e.answer.Replica = !p.primary
 	return e
 }
 
@@ -223,8 +226,15 @@
 		l.pin = p
 		return e
 	}
+	primary, term := p.member.addr.Name, p.term
 	p.release()
 	l.pin = nil
+	if e.answer.Position.IsZero() && p.primary && r.Err == nil && x.Ack != pollendoor.AckBlind {
+		if !l.group.awaitStable(ctx, primary, term) {
+			e.result, e.cause = retry.Unacked, "the primary holds writes that no replica has"
+		}
+		return e
+	}
 	return l.acknowledge(ctx, x, e)
 }
 
--- a/home/member.go
+++ b/home/member.go
@@ -53,11 +53,12 @@
 
 func newMember(g *Group, addr pollendoor.TargetAddr) *member {
 	o := g.host.opt
-	login := pgwire.Login{Addr: addr.Addr, User: o.User, Password: o.Password, Database: g.name, App: "pollendoor"}
+	login := pgwire.Login{Addr: addr.Addr, User: o.User, Password: o.Password, Database: g.name, App: "pollendoor@" + o.Zone}
 	m := &member{group: g, addr: addr}
+	m.pool.Login = login
+	login.App = pgwire.ControlApp + "@" + o.Zone
 	m.control.Login = login
 	m.admin.Login = login
-	m.pool.Login = login
 	m.gate.SetLimit(o.Connections)
 	m.newLife()
 	return m
--- a/node/node.go
+++ b/node/node.go
@@ -30,6 +30,7 @@
 	"github.com/pollendoor/pollendoor/limit"
 	"github.com/pollendoor/pollendoor/mirror"
 	"github.com/pollendoor/pollendoor/peers"
+	"github.com/pollendoor/pollendoor/tree"
 )
 
 const (
@@ -315,6 +316,15 @@
 	return v
 }
 
+// Branch returns a branch in force on this VM, and its version.
+func (n *Node) Branch(path string) (tree.Branch, uint64) { return n.guard.Tree().Branch(path) }
+
+// IsHome reports whether this VM is a home of a group.
+func (n *Node) IsHome(group string) bool {
+	_, ok := n.fleet.Rank(group)
+	return ok
+}
+
 // Holdings returns the units this VM holds of each team's allowance.
 func (n *Node) Holdings() map[string]uint64 { return n.keeper.Holdings() }
 
--- a/peers/wire.go
+++ b/peers/wire.go
@@ -12,6 +12,7 @@
 	"math/big"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -88,6 +89,30 @@
 // maxIdle bounds the idle connections kept to one peer.
 const maxIdle = 16
 
+// wireBytes counts what this process has sent and received among VMs.
+var wireBytes atomic.Int64
+
+// Bytes returns how many bytes this process has exchanged with other VMs on the
+// connections it dialed, encryption included.
+func Bytes() int64 { return wireBytes.Load() }
+
+// counted counts the bytes of a connection.
+type counted struct{ net.Conn }
+
+// Read reads and counts.
+func (c counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	wireBytes.Add(int64(n))
+	return n, err
+}
+
+// Write writes and counts.
+func (c counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	wireBytes.Add(int64(n))
+	return n, err
+}
+
 // dialer keeps connections to peers. A connection carries one call at a time.
 type dialer struct {
 	tls *tls.Config
@@ -114,11 +139,16 @@
 		return c, true, nil
 	}
 	d.mu.Unlock()
-	nd := &tls.Dialer{NetDialer: &net.Dialer{}, Config: d.tls}
-	n, err := nd.DialContext(ctx, "tcp", addr)
+	var nd net.Dialer
+	raw, err := nd.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, false, errors.Wrap(err, "dial peer")
 	}
+	n := tls.Client(counted{raw}, d.tls)
+	if err := n.HandshakeContext(ctx); err != nil {
+		raw.Close()
+		return nil, false, errors.Wrap(err, "secure the connection to a peer")
+	}
 	return drpcconn.NewWithOptions(n, drpcconn.Options{Manager: managerOptions()}), false, nil
 }
 
--- a/pgwire/conn.go
+++ b/pgwire/conn.go
@@ -21,7 +21,8 @@
 const SessionParam = "pollendoor.session"
 
 // ControlApp is the application name of control and replication connections,
-// which targets do not count against their connection limit.
+// which targets do not count against their connection limit. The zone follows
+// behind an @.
 const ControlApp = "pollendoor-control"
 
 // MaxMessage is the longest protocol message taken, in bytes.
--- a/pool/control.go
+++ b/pool/control.go
@@ -36,9 +36,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.conn == nil {
-		l := c.Login
-		l.App = pgwire.ControlApp
-		conn, err := pgwire.Dial(ctx, l)
+		conn, err := pgwire.Dial(ctx, c.Login)
 		if err != nil {
 			return nil, pollendoor.Position{}, err
 		}
