escrow: ask peers for units when a team runs short; route: leave replicas that fail

In a zone cut off with the old primary every read failed: the stand-in blocked logins from its own zone (its fault), a replica out of reach was tried again and again, and a name whose Parse had failed stayed taken.

--- a/access/access.go
+++ b/access/access.go
@@ -32,8 +32,8 @@
 // several goroutines.
 type Guard struct {
 	Mirror *mirror.Mirror
-	Take   func(team string, n int) (time.Duration, bool)
-	Zones  func() []keys.Zone // what other zones know, for old key data
+	Take   func(team string, n int) bool // takes statements out of the rate
+	Zones  func() []keys.Zone            // what other zones know, for old key data
 	Burn   *burn.Book
 	Log    zerolog.Logger
 
@@ -244,13 +244,9 @@
 	if grant.Team == "" {
 		return nil
 	}
-	wait, ok := g.Take(grant.Team, n)
-	if !ok {
+	if !g.Take(grant.Team, n) {
 		return pollendoor.Refuse(pollendoor.CodeRateExceeded, "team "+grant.Team+" is over its rate", "")
 	}
-	if wait > 0 {
-		time.Sleep(wait)
-	}
 	return nil
 }
 
--- a/bench/caller.go
+++ b/bench/caller.go
@@ -87,6 +87,15 @@
 	return ""
 }
 
+// explain returns an error with the cause that a refusal gives.
+func explain(err error) string {
+	var pe *pgconn.PgError
+	if errors.As(err, &pe) {
+		return err.Error() + ": " + pe.Hint
+	}
+	return err.Error()
+}
+
 // notRun reports whether an error says that the statement did not run.
 func notRun(err error) bool {
 	var pe *pgconn.PgError
--- a/bench/result.go
+++ b/bench/result.go
@@ -56,6 +56,13 @@
 	}
 }
 
+// example notes an error that callers of the last phase heard.
+func (r *Result) example(l *Lab) {
+	if t, ok := l.example.Load().(string); ok {
+		r.Notes = append(r.Notes, "callers heard, for instance: "+t)
+	}
+}
+
 // Experiment is one experiment by name.
 type Experiment struct {
 	Name string
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -28,11 +28,13 @@
 	shape   []byte
 	digest  *digest
 	fail    *pollendoor.Refusal
-	flushed bool // part of it has been sent with Flush
+	flushed bool     // part of it has been sent with Flush
+	fresh   []string // names that the caller gave to statements in this batch
+	parses  int      // of those, how many the target has confirmed
 }
 
 func (b *batch) reset() {
-	*b = batch{frames: b.frames[:0], ops: b.ops[:0], uses: b.uses[:0], shape: b.shape[:0]}
+	*b = batch{frames: b.frames[:0], ops: b.ops[:0], uses: b.uses[:0], shape: b.shape[:0], fresh: b.fresh[:0]}
 }
 
 // add appends a message under the names that targets know.
@@ -104,6 +106,7 @@
 		p.Name = statementName(p.SQL, p.OIDs)
 	}
 	s.stmts[m.Name] = p
+	s.batch.fresh = append(s.batch.fresh, m.Name)
 	s.batch.markParsed(p.Name)
 	s.batch.add(&pgproto3.Parse{Name: p.Name, Query: p.SQL, ParameterOIDs: p.OIDs}, op{kind: 'P', stmt: p})
 }
@@ -181,6 +184,9 @@
 		s.abandonTx()
 		s.skip = flush
 	}
+	if !s.allLocal() {
+		s.forgetUnparsed()
+	}
 	flushed := flush && refusal == nil && !s.allLocal()
 	b.reset()
 	b.flushed = flushed
@@ -190,6 +196,14 @@
 	}
 }
 
+// forgetUnparsed forgets the statements of the batch that no target has
+// confirmed, so that the caller may parse them again.
+func (s *session) forgetUnparsed() {
+	for _, name := range s.batch.fresh[min(s.batch.parses, len(s.batch.fresh)):] {
+		delete(s.stmts, name)
+	}
+}
+
 // dispatch answers a batch here or has it run at the group's home.
 func (s *session) dispatch(flush bool) *pollendoor.Refusal {
 	b := &s.batch
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgxpool"
 
 	"github.com/pollendoor/pollendoor"
@@ -188,3 +190,12 @@
 		}
 	}
 }
+
+// code returns the SQLSTATE of an error.
+func code(err error) string {
+	var pe *pgconn.PgError
+	if errors.As(err, &pe) {
+		return pe.Code
+	}
+	return ""
+}
--- /dev/null
+++ b/entry/prepare_test.go
@@ -0,0 +1,67 @@
+package entry_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/pollendoor/pollendoor/fakes"
+)
+
+// TestPrepareAgainAfterFailure prepares under one name until it succeeds, as
+// drivers do: a statement that was not parsed must not take its name.
+func TestPrepareAgainAfterFailure(t *testing.T) {
+	r := newRig(t, 1, fakes.TargetOptions{})
+	ctx := context.Background()
+	c := connect(t, r.url(0))
+	for range 2 {
+		if _, err := c.PgConn().Prepare(ctx, "s1", "SELECT id FROM gift", nil); code(err) != "42P01" {
+			t.Errorf("got %v, want 42P01 while the table is missing", err)
+		}
+	}
+	exec(t, c, "CREATE TABLE gift (id BIGINT)")
+	if _, err := c.PgConn().Prepare(ctx, "s1", "SELECT id FROM gift", nil); err != nil {
+		t.Errorf("got %v, want the name to be free", err)
+	}
+	if _, err := c.PgConn().Prepare(ctx, "s1", "SELECT id FROM gift", nil); code(err) != "42P05" {
+		t.Errorf("got %v, want 42P05 for a name in use", err)
+	}
+}
+
+// TestRefusedCommands sends what can't be carried: each is refused with 0A000
+// and the session goes on.
+func TestRefusedCommands(t *testing.T) {
+	r := newRig(t, 1, fakes.TargetOptions{})
+	c := connect(t, r.url(0))
+	for _, sql := range []string{"LISTEN x", "COPY t FROM STDIN", "CREATE TEMP TABLE x (y INT)", "SET search_path = x", "SELECT 1; SHOW pollendoor.session"} {
+		if _, err := c.Exec(context.Background(), sql); code(err) != "0A000" {
+			t.Errorf("%s: got %v, want 0A000", sql, err)
+		}
+		exec(t, c, "SELECT 1")
+	}
+}
+
+// TestCancel cancels a running statement over a connection of its own.
+func TestCancel(t *testing.T) {
+	r := newRig(t, 1, fakes.TargetOptions{})
+	c := connect(t, r.url(0))
+	done := make(chan error)
+	go func() {
+		_, err := c.Exec(context.Background(), "SELECT pg_sleep(30)")
+		done <- err
+	}()
+	for range 100 {
+		if err := c.PgConn().CancelRequest(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case err := <-done:
+			if code(err) != "57014" {
+				t.Errorf("got %v, want 57014", err)
+			}
+			exec(t, c, "SELECT 1")
+			return
+		default:
+		}
+	}
+	t.Error("got no end of the statement, want it cancelled")
+}
--- a/entry/session.go
+++ b/entry/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -275,6 +276,9 @@
 
 // sink takes frames of an answer from the group's home.
 func (s *session) sink(frames []byte) error {
+	if len(s.batch.fresh) > 0 {
+		s.batch.parses += countFrames(frames, parseComplete)
+	}
 	s.out = append(s.out, frames...)
 	if len(s.out) < sinkFlush {
 		return nil
@@ -282,6 +286,25 @@
 	return s.flush()
 }
 
+// parseComplete is the type of the message that answers a Parse.
+const parseComplete = '1'
+
+// countFrames counts the messages of one type.
+func countFrames(frames []byte, kind byte) int {
+	n := 0
+	for len(frames) >= 5 {
+		if frames[0] == kind {
+			n++
+		}
+		size := int(binary.BigEndian.Uint32(frames[1:])) + 1
+		if size > len(frames) {
+			break
+		}
+		frames = frames[size:]
+	}
+	return n
+}
+
 // sinkFlush is how many bytes of an answer are gathered before they are
 // written.
 const sinkFlush = 32 << 10
--- a/escrow/keeper.go
+++ b/escrow/keeper.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"slices"
+	"sort"
 	"sync"
 	"time"
 
@@ -45,6 +46,7 @@
 	Mirror *mirror.Mirror
 	View   func() *peers.View
 	Send   func(t limit.Transfer, peer string) bool
+	Ask    func(a peers.Ask, peer string)
 	Teams  func() map[string]Allowance
 	Log    zerolog.Logger
 }
@@ -59,6 +61,8 @@
 	mu     sync.Mutex
 	ledger limit.Ledger
 	busy   map[string]bool // receivers with a transfer under way
+	asked  map[string]time.Time
+	came   chan struct{} // closed when units come
 
 	report  *limit.Held // to be written down, nil if it is
 	written uint64      // version of this VM's held object
@@ -68,7 +72,7 @@
 
 // New returns a keeper that holds nothing yet.
 func New(opt Options) *Keeper {
-	k := &Keeper{opt: opt, wg: conc.NewWaitGroup(), busy: make(map[string]bool)}
+	k := &Keeper{opt: opt, wg: conc.NewWaitGroup(), busy: make(map[string]bool), asked: make(map[string]time.Time), came: make(chan struct{})}
 	k.ledger.Self = opt.ID
 	k.ctx, k.cancel = context.WithCancel(context.Background())
 	return k
@@ -83,19 +87,98 @@
 	k.wg.Wait()
 }
 
-// Take takes n statements of a team. It returns how long to wait before they
-// may run, and false if they may not.
-func (k *Keeper) Take(team string, n int) (time.Duration, bool) {
+// Admit takes n statements of a team, waiting for a moment if they are about to
+// be free or if peers may have some to give. It reports whether they may run.
+func (k *Keeper) Admit(team string, n int) bool {
+	end := time.Now().Add(limit.MaxWait)
+	for {
+		now := time.Now()
+		k.mu.Lock()
+		// While others may give, only a short wait is taken at this VM's own
+		// rate.
+		most := min(askPause, time.Until(end))
+		if !k.mayAsk() {
+			most = time.Until(end)
+		}
+		wait, ok := k.ledger.Take(team, n, most, now)
+		came := k.came
+		k.mu.Unlock()
+		if ok {
+			time.Sleep(wait)
+			return true
+		}
+		left := time.Until(end)
+		if left <= 0 {
+			return false
+		}
+		k.ask(team, now)
+		t := time.NewTimer(min(left, askPause))
+		select {
+		case <-came:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+// mayAsk reports whether there are peers that could give. The caller holds mu.
+func (k *Keeper) mayAsk() bool { return k.ledger.Epoch > 0 && len(k.opt.View().Members) > 0 }
+
+// askPause is the time between two rounds of asking for one team.
+const askPause = 20 * time.Millisecond
+
+// askPeers is how many peers are asked in a round: those with most units.
+const askPeers = 3
+
+// ask tells the peers with most units of a team that this VM has run short.
+func (k *Keeper) ask(team string, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if now.Sub(k.asked[team]) < askPause || k.ctx.Err() != nil {
+		return
+	}
+	k.asked[team] = now
+	var list []peers.Member
+	for _, m := range k.opt.View().Members {
+		if m.Beat.Epoch == k.ledger.Epoch && now.Sub(m.Heard) <= peers.HeardFresh && m.Beat.Demands[team].Units > 0 {
+			list = append(list, m)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Beat.Demands[team].Units > list[j].Beat.Demands[team].Units })
+	for _, m := range list[:min(askPeers, len(list))] {
+		a := peers.Ask{ID: k.opt.ID, Team: team, Epoch: k.ledger.Epoch}
+		k.wg.Go(func() { k.opt.Ask(a, m.Peer) })
+	}
+}
+
+// Asked hears that a peer has run short, and gives what is not used here.
+func (k *Keeper) Asked(a peers.Ask) {
+	var to peers.Member
+	for _, m := range k.opt.View().Members {
+		if m.ID == a.ID {
+			to = m
+		}
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.ledger.Take(team, n, limit.MaxWait, time.Now())
+	now := time.Now()
+	if to.ID == "" || a.Epoch != k.ledger.Epoch || k.busy[to.ID] || k.ctx.Err() != nil {
+		return
+	}
+	if t, ok := k.ledger.Give(a.Team, to.ID, k.ledger.Answer(a.Team, now), now); ok {
+		k.busy[to.ID] = true
+		k.wg.Go(func() { k.deliver(t, to.Peer) })
+	}
 }
 
 // Receive takes units from a peer.
 func (k *Keeper) Receive(t limit.Transfer) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.ledger.Receive(t, time.Now())
+	settled := k.ledger.Receive(t, time.Now())
+	close(k.came)
+	k.came = make(chan struct{})
+	return settled
 }
 
 // Fill adds to a heartbeat what the VM holds and is asked for.
--- a/home/group.go
+++ b/home/group.go
@@ -200,12 +200,13 @@
 	}
 }
 
-func candidates(v *view) []route.Candidate {
+// candidates returns what routing needs to know of each target but one.
+func candidates(v *view, avoid string) []route.Candidate {
 	list := make([]route.Candidate, len(v.members))
 	for i, m := range v.members {
 		list[i].Zone = m.addr.Zone
 		list[i].Leaving = m.addr.Leaving
-		if s := m.seen.Load(); s != nil {
+		if s := m.seen.Load(); s != nil && m.addr.Name != avoid {
 			holders, waiting := m.gate.Load()
 			list[i].Status = s.Status
 			list[i].Seen = s.Asked
--- a/home/host.go
+++ b/home/host.go
@@ -23,6 +23,10 @@
 // storeRetry is the wait after a failed call of the store.
 const storeRetry = 200 * time.Millisecond
 
+// defaultSlots is how many statements a target runs at a time if the settings
+// do not tell.
+const defaultSlots = 3
+
 // Options says what a Host serves and with what.
 type Options struct {
 	VM       string
@@ -32,6 +36,10 @@
 	Password string
 	// Connections bounds the connections of this VM to one target.
 	Connections int
+	// Slots bounds the statements of this VM under way at one target, so that
+	// the others wait in the VM's fair queue and not at the target. Zero means
+	// three.
+	Slots int
 	// Rank returns this VM's place among the homes of a group, or false if the
 	// group has its home elsewhere. Nil means first for every group.
 	Rank func(group string) (int, bool)
@@ -58,6 +66,9 @@
 // NewHost returns a host without groups. Start has it watch the store.
 func NewHost(opt Options) *Host {
 	h := &Host{opt: opt, wg: conc.NewWaitGroup()}
+	if h.opt.Slots == 0 {
+		h.opt.Slots = defaultSlots
+	}
 	if h.opt.Rank == nil {
 		h.opt.Rank = func(string) (int, bool) { return 0, true }
 	}
--- a/home/link.go
+++ b/home/link.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/pollendoor/pollendoor"
 	"github.com/pollendoor/pollendoor/pool"
 	"github.com/pollendoor/pollendoor/queue"
@@ -31,6 +33,24 @@
 	p.member.gate.Leave(time.Since(p.since))
 }
 
+// errNoSlot says that the time was up before a statement got its turn.
+var errNoSlot = errors.New("the time was up before the statement got its turn at the target")
+
+// inTurn runs an exchange outside of a transaction when its turn comes. With
+// errNoSlot nothing was sent.
+//
+// Statements within a transaction take no turn: others that have theirs may be
+// waiting for the transaction's locks.
+func (p *pin) inTurn(ctx context.Context, x *pollendoor.Exchange, r *pool.Reply) error {
+	turn := queue.Request{Team: x.Team, Weight: x.Weight, Batch: x.Batch}
+	if p.member.slots.Enter(ctx, turn) != queue.Entered {
+		return errNoSlot
+	}
+	start := time.Now()
+	defer func() { p.member.slots.Leave(time.Since(start)) }()
+	return p.run(ctx, x, r)
+}
+
 // run runs an exchange on the pinned connection. It is given up when the target
 // is lost from sight.
 func (p *pin) run(ctx context.Context, x *pollendoor.Exchange, r *pool.Reply) error {
@@ -109,9 +129,9 @@
 // runFresh runs an exchange outside of a transaction, as often as it takes and
 // may be.
 func (l *Link) runFresh(ctx context.Context, x *pollendoor.Exchange, r *pool.Reply) pollendoor.Answer {
-	primaryOnly := false
+	var how choice
 	for n := 1; ; n++ {
-		e := l.attempt(ctx, x, r, primaryOnly)
+		e := l.attempt(ctx, x, r, how)
 		e.answer.Attempts = n
 		if e.refusal != nil {
 			e.answer.Refusal = e.refusal
@@ -131,9 +151,13 @@
 		case retry.Again:
 			attempts.Add(1)
 			// A read that a replica refused was a write.
-			primaryOnly = primaryOnly || e.result == retry.Refused
+			how.primary = how.primary || e.result == retry.Refused
+			how.avoid = ""
+			if e.answer.Replica {
+				how.avoid = e.answer.Target
+			}
 			r.Reset()
-			if n > 1 || !primaryOnly {
+			if n > 1 || !e.answer.Replica {
 				pause(ctx, retry.Backoff(n))
 			}
 			continue
@@ -144,6 +168,10 @@
 		if verdict == retry.SayNotRun {
 			e.answer.Refusal.Code = pollendoor.CodeNoPrimary
 			e.answer.Refusal.Message = "the statement was not run"
+			if ctx.Err() != nil {
+				e.answer.Refusal.Code = pollendoor.CodeDeadline
+				e.answer.Refusal.Message = "the statement was cancelled or its time was up before it was run"
+			}
 		}
 		return e.answer
 	}
@@ -161,8 +189,8 @@
 }
 
 // attempt runs an exchange once.
-func (l *Link) attempt(ctx context.Context, x *pollendoor.Exchange, r *pool.Reply, primaryOnly bool) ended {
-	m, v, refusal := l.group.pick(ctx, x, primaryOnly)
+func (l *Link) attempt(ctx context.Context, x *pollendoor.Exchange, r *pool.Reply, how choice) ended {
+	m, v, refusal := l.group.pick(ctx, x, how)
 	if refusal != nil {
 		return ended{refusal: refusal}
 	}
@@ -171,7 +199,8 @@
 		return ended{refusal: refusal}
 	}
 	if err != nil {
-		return ended{result: retry.NotSent, cause: err.Error()}
+		at := pollendoor.Answer{Target: m.addr.Name, Replica: m.addr.Name != v.rec.Primary}
+		return ended{result: retry.NotSent, answer: at, cause: err.Error()}
 	}
 	p.primary, p.term = m.addr.Name == v.rec.Primary, v.rec.Term
 	e := l.send(ctx, p, x, r)
@@ -207,8 +236,11 @@
 	if x.RequestID != "" && x.Class == pollendoor.MustWrite && !x.Begin {
 		return l.once(ctx, p, x, r)
 	}
-	if err := p.run(ctx, x, r); err != nil {
+	if err := p.inTurn(ctx, x, r); err != nil {
 		p.release()
+		if errors.Is(err, errNoSlot) {
+			return ended{result: retry.NotSent, cause: err.Error()}
+		}
 		return ended{result: retry.Lost, cause: err.Error()}
 	}
 	if r.Err != nil && r.Err.Code == pollendoor.CodeReadOnly && r.TxStatus == 'I' {
--- a/home/member.go
+++ b/home/member.go
@@ -31,7 +31,8 @@
 	control pool.Control // status requests
 	admin   pool.Control // steps of promotions
 	pool    pool.Pool
-	gate    queue.Gate
+	gate    queue.Gate // for connections
+	slots   queue.Gate // for statements under way
 	seen    atomic.Pointer[group.Seen]
 	lag     atomic.Int64 // ns, age of entries when they are applied
 	life    atomic.Pointer[life]
@@ -61,6 +62,7 @@
 	m.control.Login = login
 	m.admin.Login = login
 	m.gate.SetLimit(o.Connections)
+	m.slots.SetLimit(o.Slots)
 	m.newLife()
 	return m
 }
--- a/home/once.go
+++ b/home/once.go
@@ -111,7 +111,7 @@
 // had then is known to last.
 func (l *Link) lookup(ctx context.Context, key dedup.Key) (dedup.Verdict, []byte, pollendoor.Position, error) {
 	var none pollendoor.Position
-	m, _, refusal := l.group.pick(ctx, &pollendoor.Exchange{Class: pollendoor.MustWrite}, true)
+	m, _, refusal := l.group.pick(ctx, &pollendoor.Exchange{Class: pollendoor.MustWrite}, choice{primary: true})
 	if refusal != nil {
 		return 0, nil, none, refusal
 	}
@@ -190,7 +190,7 @@
 	void := key
 	void.Digest = dedup.VoidDigest
 	for n := 1; left(ctx) > 0; n++ {
-		m, _, refusal := l.group.pick(ctx, x, true)
+		m, _, refusal := l.group.pick(ctx, x, choice{primary: true})
 		if refusal != nil {
 			break
 		}
@@ -218,7 +218,7 @@
 		return pollendoor.Answer{TxStatus: 'I', Refusal: pollendoor.Refuse(codeRolledBack, "the transaction was not committed", "its key is taken")}, true
 	}
 	r.Reset()
-	m, _, refusal := l.group.pick(ctx, x, true)
+	m, _, refusal := l.group.pick(ctx, x, choice{primary: true})
 	if refusal != nil {
 		return pollendoor.Answer{}, false
 	}
--- a/home/pick.go
+++ b/home/pick.go
@@ -10,11 +10,17 @@
 	"github.com/pollendoor/pollendoor/route"
 )
 
+// choice narrows where an attempt may go, by what became of the one before.
+type choice struct {
+	primary bool   // to the primary only
+	avoid   string // replica that has just failed
+}
+
 // pick chooses the target for an attempt, waiting for one as long as ctx lasts.
 // The view it returns is the one the choice was made on.
-func (g *Group) pick(ctx context.Context, x *pollendoor.Exchange, primaryOnly bool) (*member, *view, *pollendoor.Refusal) {
-	if x.Class == pollendoor.AnyRead && !primaryOnly {
-		m, v, refusal := g.pickReplica(ctx, x)
+func (g *Group) pick(ctx context.Context, x *pollendoor.Exchange, how choice) (*member, *view, *pollendoor.Refusal) {
+	if x.Class == pollendoor.AnyRead && !how.primary {
+		m, v, refusal := g.pickReplica(ctx, x, how.avoid)
 		if m != nil || refusal != nil {
 			return m, v, refusal
 		}
@@ -33,10 +39,10 @@
 	return m, v, nil
 }
 
-func (g *Group) pickReplica(ctx context.Context, x *pollendoor.Exchange) (*member, *view, *pollendoor.Refusal) {
+func (g *Group) pickReplica(ctx context.Context, x *pollendoor.Exchange, avoid string) (*member, *view, *pollendoor.Refusal) {
 	v := g.view.Load()
 	need := route.Need{Position: x.Position, MaxAge: x.MaxAge, Zone: g.host.opt.Zone}
-	i, verdict := route.Choose(&v.rec, candidates(v), need, time.Now())
+	i, verdict := route.Choose(&v.rec, candidates(v, avoid), need, time.Now())
 	switch verdict {
 	case route.ToReplica:
 		return v.members[i], v, nil
@@ -47,7 +53,7 @@
 		defer cancel()
 		var m *member
 		g.await(wait, func(cur *view) bool {
-			i, verdict := route.Choose(&cur.rec, candidates(cur), need, time.Now())
+			i, verdict := route.Choose(&cur.rec, candidates(cur, avoid), need, time.Now())
 			if verdict == route.ToReplica {
 				m, v = cur.members[i], cur
 			}
--- a/limit/ledger.go
+++ b/limit/ledger.go
@@ -156,6 +156,21 @@
 	}
 }
 
+// Answer returns how many units of a team to give to a peer that has run short
+// of it: half of them if the bucket here is at least half full, for then nobody
+// uses them here, else none.
+func (l *Ledger) Answer(team string, now time.Time) uint64 {
+	a := l.accounts[team]
+	if a == nil || a.units < 2 {
+		return 0
+	}
+	a.fill(now)
+	if a.tokens*2 < a.burst*a.share() {
+		return 0
+	}
+	return a.units / 2
+}
+
 // The bounds of planning.
 const (
 	// floorDemand is the demand that a VM without any is planned with, as a
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -151,6 +151,20 @@
 	})
 }
 
+func TestAnswer(t *testing.T) {
+	now := time.Unix(0, 0)
+	l := limit.Ledger{Self: "a"}
+	l.Set("team", 10, 10, now)
+	l.Enter(1)
+	l.Grant(1, map[string]uint64{"team": 1000}, now)
+	if got := l.Answer("team", now); got != 0 {
+		t.Errorf("got %d units from an empty bucket, want none", got)
+	}
+	if got := l.Answer("team", now.Add(time.Hour)); got != 500 {
+		t.Errorf("got %d units from a full bucket, want half", got)
+	}
+}
+
 // TestSharesFollowDemand moves a team's units to the VM that is asked.
 func TestSharesFollowDemand(t *testing.T) {
 	now := time.Unix(0, 0)
--- a/node/admin.go
+++ b/node/admin.go
@@ -78,13 +78,13 @@
 	}
 	sort.Slice(s.Peers, func(i, j int) bool { return s.Peers[i].VM < s.Peers[j].VM })
 	for _, name := range n.host.Groups() {
-		s.Groups = append(s.Groups, n.groupStatus(name, v, now))
+		s.Groups = append(s.Groups, n.groupStatus(name, v))
 	}
 	sort.Slice(s.Groups, func(i, j int) bool { return s.Groups[i].Group < s.Groups[j].Group })
 	return s
 }
 
-func (n *Node) groupStatus(name string, v *peers.View, now time.Time) GroupStatus {
+func (n *Node) groupStatus(name string, v *peers.View) GroupStatus {
 	gs := GroupStatus{Group: name, Targets: make(map[string]pollendoor.TargetStatus)}
 	g, ok := n.host.Group(name)
 	if !ok {
@@ -92,7 +92,7 @@
 	}
 	rec, _ := g.Record()
 	gs.Term, gs.Phase, gs.Primary = rec.Term, rec.Phase, rec.Primary
-	for _, h := range v.Homes(name, now) {
+	for _, h := range v.Homes(name) {
 		gs.Homes = append(gs.Homes, h.Name)
 	}
 	for t, s := range g.Seen() {
--- a/node/node.go
+++ b/node/node.go
@@ -100,15 +100,16 @@
 	n.fleet = peers.New(peers.Options{
 		Self: opt.VM, ID: n.id, TLS: secure, Store: opt.Store, Mirror: &n.mirror, Runner: n.host,
 		Fill: n.fill, Transfer: func(t limit.Transfer) bool { return n.keeper.Receive(t) }, Cut: opt.Cut, Log: opt.Log,
+		Asked: func(a peers.Ask) { n.keeper.Asked(a) },
 	})
 	n.forward = &peers.Forwarder{Fleet: n.fleet, Local: n.host}
 	n.guard = &access.Guard{
 		Mirror: &n.mirror, Zones: n.zones, Burn: &n.book, Log: opt.Log,
-		Take: func(team string, c int) (time.Duration, bool) { return n.keeper.Take(team, c) },
+		Take: func(team string, c int) bool { return n.keeper.Admit(team, c) },
 	}
 	n.keeper = escrow.New(escrow.Options{
 		ID: n.id, Store: opt.Store, Mirror: &n.mirror, View: n.fleet.View,
-		Send: n.fleet.Send, Teams: n.guard.Allowances, Log: opt.Log,
+		Send: n.fleet.Send, Ask: n.fleet.Ask, Teams: n.guard.Allowances, Log: opt.Log,
 	})
 	n.server = entry.NewServer(entry.Options{Runner: n.forward, Access: n.guard, TLS: opt.TLS, RequireTLS: opt.RequireTLS, Log: opt.Log})
 	return n, n.listen()
@@ -326,6 +327,9 @@
 	return ok
 }
 
+// Watches reports whether this VM watches the platform's store for its zone.
+func (n *Node) Watches() bool { return n.fleet.View().Watches() }
+
 // Holdings returns the units this VM holds of each team's allowance.
 func (n *Node) Holdings() map[string]uint64 { return n.keeper.Holdings() }
 
--- a/peers/beat.go
+++ b/peers/beat.go
@@ -43,6 +43,13 @@
 	Settled bool `cbor:"s"`
 }
 
+// Ask says that a VM has run short of a team's units.
+type Ask struct {
+	ID    string `cbor:"i"` // of the process that asks
+	Team  string `cbor:"t"`
+	Epoch uint64 `cbor:"e"`
+}
+
 type cancelRequest struct {
 	ID string `cbor:"i"`
 }
@@ -66,6 +73,7 @@
 	rpcBeat     = "/pollendoor/Beat"
 	rpcPull     = "/pollendoor/Pull"
 	rpcTransfer = "/pollendoor/Transfer"
+	rpcAsk      = "/pollendoor/Ask"
 	rpcForward  = "/pollendoor/Forward"
 	rpcCancel   = "/pollendoor/Cancel"
 )
--- a/peers/fleet.go
+++ b/peers/fleet.go
@@ -51,6 +51,8 @@
 	Fill func(b *Beat)
 	// Transfer takes units from a peer.
 	Transfer func(t limit.Transfer) bool
+	// Asked hears that a peer has run short of units.
+	Asked func(a Ask)
 	// Cut reports whether a peer is out of reach, for tests.
 	Cut func(addr string) bool
 	Log zerolog.Logger
@@ -272,7 +274,7 @@
 func (f *Fleet) listLoop() {
 	for f.ctx.Err() == nil {
 		v := f.view.Load()
-		if len(v.Members) == 0 || v.Watches(time.Now()) {
+		if len(v.Members) == 0 || v.Watches() {
 			at := time.Now()
 			if list, err := f.opt.Store.VMs(f.ctx); err == nil {
 				raw, err := json.Marshal(list)
@@ -299,7 +301,7 @@
 	var revision uint64
 	for f.ctx.Err() == nil {
 		v := f.view.Load()
-		if len(v.Members) > 0 && !v.Watches(time.Now()) {
+		if len(v.Members) > 0 && !v.Watches() {
 			revision = 0
 			f.pause(watchRetry)
 			continue
@@ -337,8 +339,8 @@
 	var s source
 	for f.ctx.Err() == nil {
 		v := f.view.Load()
-		watchers := v.Watchers(time.Now())[v.Self.Zone]
-		if len(watchers) == 0 || v.Watches(time.Now()) {
+		watchers := v.Watchers()[v.Self.Zone]
+		if len(watchers) == 0 || v.Watches() {
 			f.pause(watchRetry)
 			continue
 		}
@@ -357,11 +359,11 @@
 	for f.ctx.Err() == nil {
 		f.pause(farEvery/2 + rand.N(farEvery))
 		v := f.view.Load()
-		if !v.Watches(time.Now()) {
+		if !v.Watches() {
 			continue
 		}
 		var addrs []string
-		for _, list := range v.Watchers(time.Now()) {
+		for _, list := range v.Watchers() {
 			for _, w := range list {
 				if w.Name != v.Self.Name {
 					addrs = append(addrs, w.Peer)
@@ -423,6 +425,13 @@
 	return err == nil && a.Settled
 }
 
+// Ask tells a peer that this VM has run short of units.
+func (f *Fleet) Ask(a Ask, peer string) {
+	ctx, cancel := context.WithTimeout(f.ctx, beatTimeout)
+	defer cancel()
+	_ = f.dialer.invoke(ctx, peer, rpcAsk, &a, &empty{}) // a hint; it is asked again
+}
+
 // Vantages returns the fresh opinions of other VMs on a group's primary.
 func (f *Fleet) Vantages(name string) []group.Vantage {
 	var list []group.Vantage
@@ -438,7 +447,7 @@
 // one.
 func (f *Fleet) Rank(name string) (int, bool) {
 	v := f.view.Load()
-	for i, h := range v.Homes(name, time.Now()) {
+	for i, h := range v.Homes(name) {
 		if h.Name == v.Self.Name {
 			return i, true
 		}
--- a/peers/forward.go
+++ b/peers/forward.go
@@ -129,7 +129,8 @@
 // this VM is a home itself.
 func (l *link) homes() ([]pollendoor.VM, bool) {
 	v := l.forwarder.Fleet.View()
-	list := v.Homes(l.group, time.Now())
+	shared := v.Homes(l.group)
+	list := append([]pollendoor.VM(nil), shared...)
 	for i, h := range list {
 		if h.Name == v.Self.Name {
 			return nil, true
--- a/peers/serve.go
+++ b/peers/serve.go
@@ -29,6 +29,13 @@
 		return unary(stream, func(t *limit.Transfer) (any, error) {
 			return &transferAnswer{Settled: f.opt.Transfer != nil && f.opt.Transfer(*t)}, nil
 		})
+	case rpcAsk:
+		return unary(stream, func(a *Ask) (any, error) {
+			if f.opt.Asked != nil {
+				f.opt.Asked(*a)
+			}
+			return &empty{}, nil
+		})
 	case rpcCancel:
 		return unary(stream, func(r *cancelRequest) (any, error) {
 			if c, ok := f.running.Load(r.ID); ok {
--- a/peers/view.go
+++ b/peers/view.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -52,6 +53,12 @@
 	Listed  map[string]bool // VMs that the list has ever had, shared
 	Since   time.Time       // when the list was first read, zero for never
 	InList  bool            // the list has this VM
+
+	homes     sync.Map // group name to its homes, worked out once
+	watchOnce sync.Once
+	watchers  map[string][]pollendoor.VM
+	nearOnce  sync.Once
+	near      map[string]bool
 }
 
 func score(name, key string) uint64 { return xxhash.Sum64String(name + "\x00" + key) }
@@ -75,31 +82,39 @@
 }
 
 // Homes returns the VMs that are homes of a group, best first: the first of
-// each zone by rendezvous score.
-func (v *View) Homes(group string, now time.Time) []pollendoor.VM {
+// each zone by rendezvous score, as of the view's moment. The list is shared and
+// must not be changed.
+func (v *View) Homes(group string) []pollendoor.VM {
+	if h, ok := v.homes.Load(group); ok {
+		return h.([]pollendoor.VM)
+	}
 	var list []pollendoor.VM
-	for _, z := range v.ranked(group, now) {
+	for _, z := range v.ranked(group, v.At) {
 		list = append(list, z[:min(HomesPerZone, len(z))]...)
 	}
 	sort.Slice(list, func(i, j int) bool { return score(list[i].Name, group) > score(list[j].Name, group) })
+	v.homes.Store(group, list)
 	return list
 }
 
 // watchersPerZone is how many VMs of each zone watch the platform's store.
 const watchersPerZone = 2
 
-// Watchers returns the VMs that watch the store, by zone.
-func (v *View) Watchers(now time.Time) map[string][]pollendoor.VM {
-	zones := v.ranked("watchers", now)
-	for z, list := range zones {
-		zones[z] = list[:min(watchersPerZone, len(list))]
-	}
-	return zones
+// Watchers returns the VMs that watch the store, by zone, as of the view's
+// moment. The map is shared and must not be changed.
+func (v *View) Watchers() map[string][]pollendoor.VM {
+	v.watchOnce.Do(func() {
+		v.watchers = v.ranked("watchers", v.At)
+		for z, list := range v.watchers {
+			v.watchers[z] = list[:min(watchersPerZone, len(list))]
+		}
+	})
+	return v.watchers
 }
 
 // Watches reports whether this VM is one of its zone's watchers.
-func (v *View) Watches(now time.Time) bool {
-	for _, w := range v.Watchers(now)[v.Self.Zone] {
+func (v *View) Watches() bool {
+	for _, w := range v.Watchers()[v.Self.Zone] {
 		if w.Name == v.Self.Name {
 			return true
 		}
@@ -107,9 +122,16 @@
 	return v.Drained
 }
 
-// neighbors returns the names of the VMs that this one beats to: all of a small
-// fleet, else the next ones on the ring of its own zone and a few of each other.
+// neighbors returns the names of the VMs that this one beats to. The map is
+// shared and must not be changed.
 func (v *View) neighbors() map[string]bool {
+	v.nearOnce.Do(func() { v.near = v.findNeighbors() })
+	return v.near
+}
+
+// findNeighbors picks all of a small fleet, else the next ones on the ring of
+// this VM's zone and a few of each other.
+func (v *View) findNeighbors() map[string]bool {
 	set := make(map[string]bool)
 	if len(v.Members) <= fullMesh {
 		for n := range v.Members {
--- a/route/choose.go
+++ b/route/choose.go
@@ -37,7 +37,7 @@
 )
 
 // freshStatus is how old a replica's status may be before it stops counting.
-const freshStatus = 3 * time.Second
+const freshStatus = 700 * time.Millisecond
 
 // Choose picks the replica for a read. It returns the index into list with
 // ToReplica or Soon, and -1 with the other verdicts.
