peers: control traffic that does not grow with the fleet

Cause: each VM exchanged 25, 39 and 55 KB/s at 9, 33 and 129 VMs (both ends counted). Watchers stored the list of VMs anew each second though it had not changed, so all of it went to every VM; both VMs of a pair sent heartbeats; the number of neighbors grew with the zones. Change: an unchanged list is not spread; in a full mesh one of two VMs sends and the other answers; in a larger fleet a VM beats to 4 VMs of its zone and one each of 2 others, every 500 ms, and a doubt goes at once to the group's other homes.

--- a/bench/cost.go
+++ b/bench/cost.go
@@ -158,7 +158,8 @@
 	calls, bytes, cpu := total(l.Platform.Calls()), peers.Bytes(), cpuTime()
 	time.Sleep(d)
 	k.calls = float64(total(l.Platform.Calls())-calls) / d.Seconds()
-	k.bytes = float64(peers.Bytes()-bytes) / d.Seconds() / n
+	// Each byte is sent by one VM and received by another.
+	k.bytes = 2 * float64(peers.Bytes()-bytes) / d.Seconds() / n
 	k.core = float64(cpuTime()-cpu) / float64(d) * 100 / n
 	runtime.GC()
 	runtime.ReadMemStats(&after)
--- a/home/host.go
+++ b/home/host.go
@@ -46,7 +46,7 @@
 	// Vantages returns other VMs' fresh opinions on a group's primary.
 	Vantages func(group string) []group.Vantage
 	// Doubt is called when this VM's opinion on a group's primary changes.
-	Doubt func()
+	Doubt func(group string)
 	Log   zerolog.Logger
 }
 
@@ -76,7 +76,7 @@
 		h.opt.Vantages = func(string) []group.Vantage { return nil }
 	}
 	if h.opt.Doubt == nil {
-		h.opt.Doubt = func() {}
+		h.opt.Doubt = func(string) {}
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.groups.Store(&map[string]*Group{})
--- a/home/promote.go
+++ b/home/promote.go
@@ -46,7 +46,7 @@
 		now := time.Now()
 		if _, down := g.Down(); down != doubted {
 			doubted = down
-			g.host.opt.Doubt()
+			g.host.opt.Doubt(g.name)
 		}
 		if ok, cause := group.ShouldPromote(g.sight(v), now); ok {
 			g.promote(ctx, v, cause)
--- a/node/node.go
+++ b/node/node.go
@@ -93,7 +93,7 @@
 	n.host = home.NewHost(home.Options{
 		VM: opt.VM.Name, Zone: opt.VM.Zone, Store: opt.Store, User: opt.User, Password: opt.Password,
 		Connections: opt.Connections, Log: opt.Log,
-		Doubt:    func() { n.fleet.Nudge() },
+		Doubt:    func(g string) { n.fleet.Nudge(g) },
 		Rank:     func(g string) (int, bool) { return n.fleet.Rank(g) },
 		Vantages: func(g string) []group.Vantage { return n.fleet.Vantages(g) },
 	})
--- a/peers/fleet.go
+++ b/peers/fleet.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"encoding/json"
@@ -24,7 +25,10 @@
 )
 
 const (
-	beatEvery   = 250 * time.Millisecond
+	beatEvery = 300 * time.Millisecond
+	// ringEvery is the time between heartbeats in a fleet too large for a full
+	// mesh.
+	ringEvery   = 500 * time.Millisecond
 	beatTimeout = 600 * time.Millisecond
 	// listEvery is how often a watcher reads the platform's list of VMs.
 	listEvery = time.Second
@@ -76,14 +80,14 @@
 	inList  bool
 	drained bool
 
-	nudge    chan struct{}
+	nudge    chan []string
 	listener net.Listener
 	running  sync.Map // forwarded exchange id to its cancel function
 }
 
 // New returns a fleet that does not listen yet.
 func New(opt Options) *Fleet {
-	f := &Fleet{opt: opt, wg: conc.NewWaitGroup(), members: make(map[string]Member), nudge: make(chan struct{}, 1)}
+	f := &Fleet{opt: opt, wg: conc.NewWaitGroup(), members: make(map[string]Member), nudge: make(chan []string, 1)}
 	f.dialer.tls = opt.TLS
 	f.dialer.cut = opt.Cut
 	f.ctx, f.cancel = context.WithCancel(context.Background())
@@ -161,32 +165,54 @@
 	}
 }
 
-// beatLoop sends heartbeats to this VM's neighbors.
+// beatLoop sends heartbeats to this VM's neighbors, and at once to all that a
+// doubt concerns.
 func (f *Fleet) beatLoop() {
+	var concerned []string
 	for f.ctx.Err() == nil {
 		f.readList()
 		b := f.beat()
 		v := f.view.Load()
 		for n := range v.neighbors() {
-			m := v.Members[n]
-			f.wg.Go(func() { f.beatTo(m, b) })
+			if len(concerned) == 0 && v.answersOnly(n) {
+				continue
+			}
+			f.wg.Go(func() { f.beatTo(v.Members[n], b) })
 		}
-		t := time.NewTimer(beatEvery)
-		select {
-		case <-t.C:
-		case <-f.nudge:
-		case <-f.ctx.Done():
+		for _, n := range concerned {
+			if m, ok := v.Members[n]; ok && !v.neighbors()[n] {
+				f.wg.Go(func() { f.beatTo(m, b) })
+			}
 		}
-		t.Stop()
+		concerned = f.rest(v.beatEvery())
 		f.publish()
 	}
 }
 
-// Nudge has the next heartbeat sent at once, because it says something new.
-func (f *Fleet) Nudge() {
+// rest waits until the next heartbeat is due. It returns the VMs that a doubt
+// concerns if one ended the wait.
+func (f *Fleet) rest(d time.Duration) []string {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case names := <-f.nudge:
+		return names
+	case <-f.ctx.Done():
+	}
+	return nil
+}
+
+// Nudge has a heartbeat sent at once, because this VM's opinion on a group's
+// primary has changed. It goes to the group's other homes too.
+func (f *Fleet) Nudge(group string) {
+	names := []string{f.opt.Self.Name}
+	for _, h := range f.view.Load().Homes(group) {
+		names = append(names, h.Name)
+	}
 	select {
-	case f.nudge <- struct{}{}:
-	default:
+	case f.nudge <- names:
+	default: // one is about to be sent
 	}
 }
 
@@ -278,7 +304,7 @@
 			at := time.Now()
 			if list, err := f.opt.Store.VMs(f.ctx); err == nil {
 				raw, err := json.Marshal(list)
-				if err == nil {
+				if err == nil && !bytes.Equal(raw, f.opt.Mirror.Get(listObject).Value) {
 					f.opt.Mirror.Apply([]pollendoor.Object{{Name: listObject, Version: uint64(at.UnixMilli()), Value: raw}}, time.Time{})
 				}
 			}
--- a/peers/view.go
+++ b/peers/view.go
@@ -21,9 +21,10 @@
 	// fullMesh is the fleet up to which each VM beats to every other.
 	fullMesh = 24
 	// zoneNeighbors is how many VMs of its own zone a VM of a larger fleet beats
-	// to, and farNeighbors how many of each other zone.
-	zoneNeighbors = 8
-	farNeighbors  = 2
+	// to.
+	zoneNeighbors = 4
+	// farZones is how many other zones such a VM beats to, one VM in each.
+	farZones = 2
 )
 
 // Member is one VM as another one knows it.
@@ -143,21 +144,45 @@
 	for n, m := range v.Members {
 		zones[m.Zone] = append(zones[m.Zone], n)
 	}
-	for z, names := range zones {
+	own := zones[v.Self.Zone]
+	sort.Strings(own)
+	start := sort.SearchStrings(own, v.Self.Name)
+	for i := range min(zoneNeighbors, len(own)) {
+		set[own[(start+i)%len(own)]] = true
+	}
+	for _, z := range v.farZones(zones) {
+		names := zones[z]
 		sort.Strings(names)
-		want := farNeighbors
-		if z == v.Self.Zone {
-			want = zoneNeighbors
-		}
-		start := sort.Search(len(names), func(i int) bool { return names[i] > v.Self.Name })
+		set[names[int(score(v.Self.Name, z)%uint64(len(names)))]] = true
+	}
+	return set
+}
+
+// farZones picks the other zones that this VM beats to.
+func (v *View) farZones(zones map[string][]string) []string {
+	var list []string
+	for z := range zones {
 		if z != v.Self.Zone {
-			start = int(score(v.Self.Name, z) % uint64(len(names)))
-		}
-		for i := range min(want, len(names)) {
-			set[names[(start+i)%len(names)]] = true
+			list = append(list, z)
 		}
 	}
-	return set
+	sort.Slice(list, func(i, j int) bool { return score(v.Self.Name, list[i]) > score(v.Self.Name, list[j]) })
+	return list[:min(farZones, len(list))]
+}
+
+// beatEvery returns the time between heartbeats.
+func (v *View) beatEvery() time.Duration {
+	if len(v.Members) <= fullMesh {
+		return beatEvery
+	}
+	return ringEvery
+}
+
+// answersOnly reports whether this VM leaves the heartbeats with a peer to the
+// peer: in a full mesh one of each two sends, and the other's answer is its own
+// heartbeat. A peer that falls silent is called all the same.
+func (v *View) answersOnly(name string) bool {
+	return len(v.Members) <= fullMesh && name < v.Self.Name && v.At.Sub(v.Members[name].Heard) < 2*beatEvery
 }
 
 // Zones returns the zones of the list, with this VM's.
