--- /dev/null
+++ b/group/group_test.go
@@ -0,0 +1,240 @@
+package group_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/group"
+)
+
+// TestNewestEntryIsChosen is the case in which a target that follows the newest
+// term below its branch loses against one of an older term with more entries.
+func TestNewestEntryIsChosen(t *testing.T) {
+	rec := &pollendoor.GroupRecord{
+		Targets: []pollendoor.TargetAddr{{Name: "t1"}, {Name: "t2"}},
+		Lineage: pollendoor.Lineage{{Term: 1}, {Term: 2, After: 10}},
+	}
+	fenced := map[string]pollendoor.TargetStatus{
+		"t1": {Name: "t1", Term: 2, Index: 9},
+		"t2": {Name: "t2", Term: 1, Index: 10},
+	}
+	if got := group.Newest(rec, fenced).Name; got != "t2" {
+		t.Errorf("got %s, want t2", got)
+	}
+}
+
+func TestSuspicionWantsAnotherZone(t *testing.T) {
+	now := time.Unix(100, 0)
+	rec := &pollendoor.GroupRecord{Term: 3, Phase: pollendoor.Serving, Primary: "t1", Targets: []pollendoor.TargetAddr{{Name: "t1"}}}
+	sight := func(vantages ...group.Vantage) group.Sight {
+		return group.Sight{Record: rec, Zone: "a", Changed: now.Add(-time.Hour), Since: now.Add(-time.Minute), Vantages: vantages}
+	}
+	other := group.Vantage{Zone: "b", Term: 3, At: now}
+	agreeing := group.Vantage{Zone: "c", Term: 3, Down: true, At: now}
+	old := group.Vantage{Zone: "b", Term: 3, At: now.Add(-time.Minute)}
+	tests := []struct {
+		name string
+		s    group.Sight
+		want bool
+	}{
+		{"nobody else", sight(), true},
+		{"another zone sees it", sight(other), false},
+		{"one of two zones agrees", sight(other, agreeing), true},
+		{"the other opinion is old", sight(old), true},
+	}
+	for _, tc := range tests {
+		if got, _ := group.ShouldPromote(tc.s, now); got != tc.want {
+			t.Errorf("%s: got %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
+// fakeTarget is a target in memory.
+type fakeTarget struct {
+	status pollendoor.TargetStatus
+	log    []pollendoor.Position
+}
+
+// world is a store, three targets and promoters whose actions are carried out
+// at random, late or never.
+type world struct {
+	rec     pollendoor.GroupRecord
+	version uint64
+	targets map[string]*fakeTarget
+	runs    []*group.Promotion
+	todo    []todo
+	acked   []pollendoor.Position
+	next    int
+	now     time.Time
+}
+
+type todo struct {
+	run    *group.Promotion
+	action group.Action
+}
+
+var names = []string{"t1", "t2", "t3"}
+
+func newWorld() *world {
+	w := &world{targets: map[string]*fakeTarget{}, version: 1, now: time.Unix(0, 0)}
+	for _, n := range names {
+		w.targets[n] = &fakeTarget{status: pollendoor.TargetStatus{Name: n, Role: pollendoor.Replica}}
+		w.rec.Targets = append(w.rec.Targets, pollendoor.TargetAddr{Name: n, Addr: n})
+	}
+	return w
+}
+
+func (w *world) add(p *group.Promotion, list []group.Action) {
+	for _, a := range list {
+		w.todo = append(w.todo, todo{p, a})
+	}
+}
+
+// do carries out an action and returns its event, nil if the target refuses.
+func (w *world) do(a group.Action) group.Event {
+	switch a := a.(type) {
+	case group.Write:
+		if a.Version != w.version {
+			return group.WriteRefused{}
+		}
+		w.version++
+		w.rec = a.Record
+		return group.Written{Version: w.version}
+	case group.ReadBack:
+		return group.Read{Record: w.rec, Version: w.version}
+	case group.FenceTarget:
+		s := &w.targets[a.Target].status
+		s.Fenced = max(s.Fenced, a.Term)
+		return group.TargetFenced{Status: *s}
+	case group.PromoteTarget:
+		s := &w.targets[a.Target].status
+		if s.Fenced > a.Term {
+			return nil
+		}
+		s.Role, s.Term, s.Fenced = pollendoor.Primary, a.Term, a.Term
+		return group.TargetPromoted{Status: *s}
+	case group.JoinTarget:
+		t := w.targets[a.Target]
+		if t.status.Fenced > a.Term || t.status.Term > a.Term || t.status.Term == a.Term && t.status.Role == pollendoor.Primary {
+			return nil
+		}
+		if t.status.Term < a.Term && uint64(len(t.log)) > a.After {
+			t.log = t.log[:a.After]
+		}
+		t.status.Role, t.status.Term, t.status.Fenced = pollendoor.Replica, a.Term, a.Term
+		t.status.Index = uint64(len(t.log))
+		return group.TargetJoined{Target: a.Target}
+	case group.WriteBarrier:
+		p, ok := w.append(a.Target)
+		if !ok || p.Term != a.Term {
+			return nil
+		}
+		for _, n := range names {
+			if w.ship(a.Target, n); group.Attests(w.targets[n].status, p) {
+				return group.BarrierReached{}
+			}
+		}
+	}
+	return nil
+}
+
+// append writes at a target that takes itself for the primary.
+func (w *world) append(name string) (pollendoor.Position, bool) {
+	t := w.targets[name]
+	if t.status.Role != pollendoor.Primary || t.status.Fenced > t.status.Term {
+		return pollendoor.Position{}, false
+	}
+	p := pollendoor.Position{Term: t.status.Term, Index: uint64(len(t.log)) + 1}
+	t.log = append(t.log, p)
+	t.status.Index = p.Index
+	return p, true
+}
+
+func (w *world) ship(from, to string) {
+	a, b := w.targets[from], w.targets[to]
+	if a.status.Role != pollendoor.Primary || b.status.Role != pollendoor.Replica || a.status.Term != b.status.Term ||
+		a.status.Fenced > a.status.Term || b.status.Fenced > b.status.Term {
+		return
+	}
+	b.log = append(b.log[:0], a.log...)
+	b.status.Index = uint64(len(b.log))
+}
+
+// check asserts that a serving primary has every acknowledged entry.
+func (w *world) check(t *rapid.T) {
+	if w.rec.Phase != pollendoor.Serving {
+		return
+	}
+	log := w.targets[w.rec.Primary].log
+	for _, p := range w.acked {
+		if !w.rec.Lineage.Holds(p, w.rec.Term) {
+			t.Fatalf("got acknowledged entry %v cut off by %v", p, w.rec.Lineage)
+		}
+		if w.targets[w.rec.Primary].status.Term == w.rec.Term && (uint64(len(log)) < p.Index || log[p.Index-1] != p) {
+			t.Fatalf("got no entry %v at %s, want what was acknowledged", p, w.rec.Primary)
+		}
+	}
+}
+
+// TestNoAcknowledgedEntryIsLost runs promoters, writers and replication in any
+// order: steps are repeated, late, or never done, and store answers are lost.
+func TestNoAcknowledgedEntryIsLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		t.Repeat(map[string]func(*rapid.T){
+			"begin": func(*rapid.T) {
+				w.next++
+				p, list := group.Begin("vm", w.rec, w.version, fmt.Sprint(w.next), "test", w.now)
+				w.runs = append(w.runs, p)
+				w.add(p, list)
+			},
+			"act": func(t *rapid.T) {
+				if len(w.todo) == 0 {
+					t.Skip("nothing to do")
+				}
+				i := rapid.IntRange(max(0, len(w.todo)-4), len(w.todo)-1).Draw(t, "action")
+				d := w.todo[i]
+				ev := w.do(d.action)
+				if _, ok := d.action.(group.Write); ok && rapid.IntRange(0, 3).Draw(t, "lost") == 0 {
+					ev = group.WriteLost{}
+				}
+				if ev == nil {
+					return // tried again later
+				}
+				w.todo = append(w.todo[:i], w.todo[i+1:]...)
+				w.add(d.run, d.run.On(ev, w.now))
+			},
+			"write": func(t *rapid.T) {
+				from, to := rapid.SampledFrom(names).Draw(t, "primary"), rapid.SampledFrom(names).Draw(t, "replica")
+				term := w.targets[from].status.Term
+				if term > w.rec.Term || term == w.rec.Term && w.rec.Phase != pollendoor.Serving {
+					t.Skip("nobody sends there yet")
+				}
+				p, ok := w.append(from)
+				if !ok {
+					return
+				}
+				if rapid.Bool().Draw(t, "shipped") {
+					w.ship(from, to)
+				}
+				if group.Attests(w.targets[to].status, p) {
+					w.acked = append(w.acked, p)
+				}
+			},
+			"rejoin": func(*rapid.T) {
+				seen := map[string]group.Seen{}
+				for n, x := range w.targets {
+					seen[n] = group.Seen{Status: x.status, Asked: w.now}
+				}
+				for _, r := range group.Strays(&w.rec, seen, w.now) {
+					w.do(group.JoinTarget{Rejoin: r})
+				}
+			},
+			"": w.check,
+		})
+	})
+}
