--- a/bench/faults.go
+++ b/bench/faults.go
@@ -103,7 +103,7 @@
 	if c.conn.IsClosed() {
 		return true
 	}
-	return c.conn.PgConn().CheckConn() != nil
+	return c.conn.Ping(context.Background()) != nil
 }
 
 // unlist marks a VM as leaving in the platform's list.
--- a/fakes/platform.go
+++ b/fakes/platform.go
@@ -137,6 +137,17 @@
 	return c
 }
 
+// Dump returns all objects as text, for tests that look through them.
+func (p *Platform) Dump() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var b strings.Builder
+	for name, o := range p.objects {
+		b.WriteString(name + "\n" + string(o.Value) + "\n")
+	}
+	return b.String()
+}
+
 // wake ends the waits of watches. The caller holds mu.
 func (p *Platform) wake() {
 	close(p.changed)
--- a/fakes/target.go
+++ b/fakes/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -111,6 +112,13 @@
 // Connections returns how many connections are open besides control.
 func (t *Target) Connections() int { return int(t.conns.Load()) }
 
+// Dump returns the target's log as text, for tests that look through it.
+func (t *Target) Dump() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return fmt.Sprint(t.log)
+}
+
 // Freeze makes the target take connections and bytes but answer nothing, as a
 // stopped process does, until Thaw.
 func (t *Target) Freeze() { t.frozen.Store(true) }
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -31,15 +31,14 @@
 // fleet is a fleet of ledgers, a store and a network that loses, repeats and
 // delays messages.
 type fleet struct {
-	now     time.Time
-	vms     map[string]*limit.Ledger
-	gone    map[string]bool
-	state   limit.State
-	held    map[string]limit.Held
-	flying  []limit.Transfer
-	next    int
-	started time.Time
-	admits  []time.Time
+	now    time.Time
+	vms    map[string]*limit.Ledger
+	gone   map[string]bool
+	state  limit.State
+	held   map[string]limit.Held
+	flying []limit.Transfer
+	next   int
+	admits []time.Time
 }
 
 const (
