--- a/bench/caller.go
+++ b/bench/caller.go
@@ -151,6 +151,16 @@
 // table is where the rows of a ledgerCheck go.
 const table = "CREATE TABLE gift (id TEXT, amount BIGINT)"
 
+// openGift creates the table and returns the caller that did.
+func (l *Lab) openGift(ctx context.Context) (*caller, error) {
+	c := &caller{lab: l, team: "festa", route: firstGroup}
+	if err := c.exec(ctx, table); err != nil {
+		c.close(ctx)
+		return nil, err
+	}
+	return c, nil
+}
+
 // audit reads the rows at the primary and compares.
 func (l *ledgerCheck) audit(ctx context.Context, c *caller, r *Result, lineage pollendoor.Lineage, term pollendoor.Term) error {
 	if err := c.connect(ctx); err != nil {
--- a/bench/cost.go
+++ b/bench/cost.go
@@ -11,6 +11,7 @@
 	"github.com/jackc/pgx/v5"
 
 	"github.com/pollendoor/pollendoor/peers"
+	"github.com/pollendoor/pollendoor/pgwire"
 	"github.com/pollendoor/pollendoor/tree"
 )
 
@@ -119,8 +120,6 @@
 // control measures an idle fleet's control cost a VM at growing sizes.
 func control(ctx context.Context, c Config) (*Result, error) {
 	r := newResult("control")
-	r.Targets["bytesPerSecond"], r.Targets["corePercent"], r.Targets["memoryMB"] = "<= 11000", "<= 4", "<= 64"
-	base := float64(0)
 	for _, n := range []int{8, 32, 128} {
 		k, err := controlAt(ctx, c, n)
 		if err != nil {
@@ -131,9 +130,7 @@
 		r.Figures["corePercent"+tag] = k.core
 		r.Figures["memoryMB"+tag] = k.memory
 		r.Figures["storeCallsPerSecond"+tag] = k.calls
-		if base == 0 {
-			base = k.bytes
-		}
+		r.Targets["bytesPerSecond"+tag], r.Targets["corePercent"+tag], r.Targets["memoryMB"+tag] = "<= 11000", "<= 4", "<= 64"
 	}
 	r.Settings["seconds"] = c.duration(5 * time.Second).Seconds()
 	return r, nil
@@ -142,12 +139,9 @@
 type controlCost struct{ bytes, core, memory, calls float64 }
 
 func controlAt(ctx context.Context, c Config, vms int) (controlCost, error) {
-	zones := []string{"a", "b", "c", "d"}
 	var k controlCost
-	var before, after runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&before)
-	l, err := StartLab(ctx, LabOptions{Zones: zones[:3], VMsPerZone: (vms + 2) / 3, Log: c.Log})
+	before := inUse()
+	l, err := StartLab(ctx, LabOptions{VMsPerZone: (vms + 2) / 3, Log: c.Log})
 	if err != nil {
 		return k, err
 	}
@@ -161,9 +155,7 @@
 	// Each byte is sent by one VM and received by another.
 	k.bytes = 2 * float64(peers.Bytes()-bytes) / d.Seconds() / n
 	k.core = float64(cpuTime()-cpu) / float64(d) * 100 / n
-	runtime.GC()
-	runtime.ReadMemStats(&after)
-	k.memory = float64(after.HeapInuse+after.StackInuse-before.HeapInuse-before.StackInuse) / n / (1 << 20)
+	k.memory = (float64(inUse()) - float64(before)) / n / (1 << 20)
 	return k, nil
 }
 
@@ -174,3 +166,45 @@
 	}
 	return n
 }
+
+// sessionCost measures the memory of idle callers' connections at one VM. Both
+// ends are in this process, so a figure holds the caller's small part too.
+func sessionCost(ctx context.Context, c Config) (*Result, error) {
+	r := newResult("sessions")
+	l, err := StartLab(ctx, LabOptions{Log: c.Log})
+	if err != nil {
+		return nil, err
+	}
+	defer l.Stop()
+	login := pgwire.Login{Addr: l.Nodes()[0].Addr(), User: "festa.k1", Password: l.Secrets["festa"], Database: firstGroup}
+	var conns []*pgwire.Conn
+	defer func() {
+		for _, k := range conns {
+			k.Close()
+		}
+	}()
+	last := inUse()
+	base := 0
+	for _, n := range []int{500, 2000, 4000} {
+		for len(conns) < n {
+			k, err := pgwire.Dial(ctx, login)
+			if err != nil {
+				return nil, err
+			}
+			conns = append(conns, k)
+		}
+		now := inUse()
+		r.Figures[fmt.Sprintf("kilobytesEachTo%d", n)] = float64(now-last) / float64(n-base) / 1024
+		last, base = now, n
+	}
+	r.Settings["sessions"] = 4000
+	return r, nil
+}
+
+// inUse returns the memory in use after a collection.
+func inUse() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse + m.StackInuse
+}
--- a/bench/failover.go
+++ b/bench/failover.go
@@ -31,11 +31,11 @@
 	defer l.Stop()
 	trials := c.trials(30)
 	r.Settings["trials"], r.Settings["vms"], r.Settings["callers"] = trials, len(l.Nodes()), 6
-	first := &caller{lab: l, team: "festa", route: firstGroup}
-	defer first.close(ctx)
-	if err := first.exec(ctx, table); err != nil {
+	first, err := l.openGift(ctx)
+	if err != nil {
 		return nil, err
 	}
+	defer first.close(ctx)
 	gaps, check := newLatencies(), newLedgerCheck()
 	for i := range trials {
 		l.Platform.LoseEveryOther(i%2 == 1)
@@ -186,11 +186,11 @@
 		return 0, 0, err
 	}
 	defer l.Stop()
-	first := &caller{lab: l, team: "festa", route: firstGroup}
-	defer first.close(ctx)
-	if err := first.exec(ctx, table); err != nil {
+	first, err := l.openGift(ctx)
+	if err != nil {
 		return 0, 0, err
 	}
+	defer first.close(ctx)
 	var mu sync.Mutex
 	var ids []string
 	for i := range trials {
@@ -200,9 +200,10 @@
 			wg.Go(func() {
 				me := &caller{lab: l, team: "festa", route: firstGroup, vm: w}
 				defer me.close(context.Background())
+				draw := c.random(i*100 + w)
 				for n := 0; run.Err() == nil; n++ {
 					id := fmt.Sprintf("%d-%d-%d", i, w, n)
-					if repeatUntilDone(me, id, keyed) {
+					if repeatUntilDone(me, id, keyed, draw) {
 						mu.Lock()
 						ids = append(ids, id)
 						mu.Unlock()
@@ -234,16 +235,16 @@
 }
 
 // repeatUntilDone sends a write until it is acknowledged, as a caller would.
-func repeatUntilDone(c *caller, id string, keyed bool) bool {
+func repeatUntilDone(c *caller, id string, keyed bool, draw *rand.Rand) bool {
 	sql := "INSERT INTO gift VALUES ('" + id + "', 1)"
 	if keyed {
 		sql += " /*pollendoor.requestId='" + id + "'*/"
 	}
 	for n := range 50 {
 		ctx, cancel := context.Background(), func() {}
-		if n == 0 && rand.IntN(5) == 0 {
+		if n == 0 && draw.IntN(5) == 0 {
 			// The caller's connection breaks before the answer.
-			ctx, cancel = context.WithTimeout(ctx, rand.N(4*time.Millisecond))
+			ctx, cancel = context.WithTimeout(ctx, time.Duration(draw.Int64N(int64(4*time.Millisecond))))
 		}
 		err := c.exec(ctx, sql)
 		cancel()
--- a/bench/faults.go
+++ b/bench/faults.go
@@ -24,11 +24,11 @@
 		return nil, err
 	}
 	defer l.Stop()
-	first := &caller{lab: l, team: "festa", route: firstGroup}
-	defer first.close(ctx)
-	if err := first.exec(ctx, table); err != nil {
+	first, err := l.openGift(ctx)
+	if err != nil {
 		return nil, err
 	}
+	defer first.close(ctx)
 	run, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var cut, done, again atomic.Int64
@@ -159,11 +159,11 @@
 		return nil, err
 	}
 	defer l.Stop()
-	first := &caller{lab: l, team: "festa", route: firstGroup}
-	defer first.close(ctx)
-	if err := first.exec(ctx, table); err != nil {
+	first, err := l.openGift(ctx)
+	if err != nil {
 		return nil, err
 	}
+	defer first.close(ctx)
 	time.Sleep(1500 * time.Millisecond)
 	l.Platform.SetDown(true)
 	defer l.Platform.SetDown(false)
@@ -219,11 +219,11 @@
 		return nil, err
 	}
 	defer l.Stop()
-	first := &caller{lab: l, team: "festa", route: firstGroup}
-	defer first.close(ctx)
-	if err := first.exec(ctx, table); err != nil {
+	first, err := l.openGift(ctx)
+	if err != nil {
 		return nil, err
 	}
+	defer first.close(ctx)
 	if err := l.openRoute(ctx, "potes/aberto"); err != nil {
 		return nil, err
 	}
--- a/bench/result.go
+++ b/bench/result.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sort"
 	"time"
 
@@ -24,6 +25,9 @@
 	return own
 }
 
+// random returns the source of what a caller draws, the same for each seed.
+func (c Config) random(caller int) *rand.Rand { return rand.New(rand.NewPCG(c.Seed, uint64(caller))) }
+
 func (c Config) trials(own int) int {
 	if c.Trials > 0 {
 		return c.Trials
@@ -85,6 +89,7 @@
 		{"outage", "service while the platform's store is down", outage},
 		{"cutoff", "service of a zone that is cut off", cutoff},
 		{"dedup", "doubled and lost writes with and without request ids", dedupExperiment},
+		{"sessions", "memory of callers' connections", sessionCost},
 		{"control", "control traffic, CPU and memory per VM by fleet size", control},
 	}
 }
--- a/bench/traffic.go
+++ b/bench/traffic.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -160,7 +159,8 @@
 				me := &caller{lab: l, team: teams[t].Name, route: firstGroup, vm: i, extra: "&statement_timeout=2000"}
 				defer me.close(context.Background())
 				_, _ = me.number(context.Background(), "SELECT 1")
-				time.Sleep(time.Until(start) + rand.N(every))
+				draw := c.random(t*1000 + i)
+				time.Sleep(time.Until(start) + time.Duration(draw.Int64N(int64(every))))
 				pace(run, every, func(at time.Time) {
 					offered[t].Add(1)
 					_, err := me.number(context.Background(), "SELECT 1")
@@ -223,10 +223,11 @@
 				near, far := &caller{lab: l, team: team, route: firstGroup, vm: i}, &caller{lab: l, team: team, route: firstGroup, vm: i}
 				defer near.close(context.Background())
 				defer far.close(context.Background())
-				time.Sleep(rand.N(each))
+				draw := c.random(i)
+				time.Sleep(time.Duration(draw.Int64N(int64(each))))
 				pace(run, each, func(time.Time) {
 					me := far
-					if rand.IntN(10) < 7 {
+					if draw.IntN(10) < 7 {
 						me = near
 						if f := int(favorite.Load()); me.vm != f {
 							me.move(context.Background(), f)
--- a/burn/page.go
+++ b/burn/page.go
@@ -62,7 +62,7 @@
 // drawTeam plots a team's statements in each slot: all, and those not good.
 func drawTeam(counts []Count) (template.HTML, error) {
 	p := plot.New()
-	p.X.Label.Text = "minutes ago"
+	p.X.Label.Text = "minutes from now"
 	p.Y.Label.Text = "statements in 10 s"
 	p.Y.Min = 0
 	all, bad := make(plotter.XYs, len(counts)), make(plotter.XYs, len(counts))
@@ -85,7 +85,7 @@
 		p.Add(line)
 		p.Legend.Add(s.name, line)
 	}
-	p.Legend.Top = true
+	p.Legend.Top, p.Legend.Left = true, true
 	c := vgsvg.New(16*vg.Centimeter, 5*vg.Centimeter)
 	p.Draw(draw.New(c))
 	var b bytes.Buffer
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -257,6 +257,18 @@
 
 // runLocals answers a batch of statements of the session itself.
 func (s *session) runLocals() *pollendoor.Refusal {
+	return s.answerOps(func(st route.Statement) *pollendoor.Refusal {
+		a, r := s.runLocal(st)
+		if r == nil {
+			s.sendAnswer(a)
+		}
+		return r
+	})
+}
+
+// answerOps answers the messages of a batch without a target; execute answers
+// the statements that run.
+func (s *session) answerOps(execute func(route.Statement) *pollendoor.Refusal) *pollendoor.Refusal {
 	for _, o := range s.batch.ops {
 		switch o.kind {
 		case 'P':
@@ -268,11 +280,9 @@
 		case 'D':
 			s.describeLocal(o)
 		case 'E':
-			a, r := s.runLocal(o.stmt.statement)
-			if r != nil {
+			if r := execute(o.stmt.statement); r != nil {
 				return r
 			}
-			s.sendAnswer(a)
 		}
 	}
 	return nil
@@ -319,21 +329,10 @@
 			return txFailed()
 		}
 	}
-	for _, o := range s.batch.ops {
-		switch o.kind {
-		case 'P':
-			s.send(&pgproto3.ParseComplete{})
-		case 'B':
-			s.send(&pgproto3.BindComplete{})
-		case 'C':
-			s.send(&pgproto3.CloseComplete{})
-		case 'D':
-			s.describeLocal(o)
-		case 'E':
-			s.endFailed()
-		}
-	}
-	return nil
+	return s.answerOps(func(route.Statement) *pollendoor.Refusal {
+		s.endFailed()
+		return nil
+	})
 }
 
 func (s *session) endFailed() {
--- a/entry/prepare_test.go
+++ b/entry/prepare_test.go
@@ -1,8 +1,14 @@
 package entry_test
 
 import (
+	"bytes"
 	"context"
+	"io"
+	"net"
 	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/pollendoor/pollendoor/fakes"
 )
@@ -65,3 +71,24 @@
 	}
 	t.Error("got no end of the statement, want it cancelled")
 }
+
+// TestOverlongMessage sends a message that claims to be huge: the
+// connection ends without the memory being taken.
+func TestOverlongMessage(t *testing.T) {
+	r := newRig(t, 1, fakes.TargetOptions{})
+	n, err := net.Dial("tcp", r.servers[0].Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.Close()
+	start, err := (&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "u", "database": "potes-1"}}).Encode(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Write(append(start, 'Q', 0x7f, 0xff, 0xff, 0xff))
+	n.SetReadDeadline(time.Now().Add(20 * time.Second))
+	all, err := io.ReadAll(n)
+	if err != nil || !bytes.Contains(all, []byte("08P01")) {
+		t.Errorf("got %q and %v, want a protocol error and the end", all, err)
+	}
+}
--- a/entry/session.go
+++ b/entry/session.go
@@ -161,6 +161,9 @@
 		if ending := s.work(false); ending != nil && (ending.Code == pollendoor.CodeBadKey || s.status == 'I' || s.pastDrain()) {
 			s.farewell(nil, ending)
 			return
+		} else if ending != nil {
+			// A transaction goes on: its next message must be read.
+			s.net.SetReadDeadline(time.Time{})
 		}
 	}
 }
--- a/entry/startup.go
+++ b/entry/startup.go
@@ -14,6 +14,9 @@
 
 func isEOF(err error) bool { return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) }
 
+// maxLogin bounds the messages of a caller that has not logged in, in bytes.
+const maxLogin = 16 << 10
+
 // serverParams are reported to every caller at login.
 var serverParams = [][2]string{
 	{"server_version", "16.0"},
@@ -29,6 +32,7 @@
 // session may go on.
 func (s *session) startup(full bool) (bool, error) {
 	s.back = pgproto3.NewBackend(s.net, s.net)
+	s.back.SetMaxBodyLen(maxLogin)
 	secure := false
 	for {
 		m, err := s.back.ReceiveStartupMessage()
@@ -80,6 +84,7 @@
 	}
 	s.net = c
 	s.back = pgproto3.NewBackend(c, c)
+	s.back.SetMaxBodyLen(maxLogin)
 	return nil
 }
 
--- a/peers/forward.go
+++ b/peers/forward.go
@@ -67,7 +67,7 @@
 		return l, nil
 	}
 	w.mu.Unlock()
-	c, _, err := w.Fleet.dialer.get(ctx, addr)
+	c, err := w.Fleet.dialer.get(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/peers/peers_test.go
@@ -0,0 +1,136 @@
+package peers_test
+
+import (
+	"crypto/tls"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/peers"
+)
+
+func view(self string, zones []string, each int) *peers.View {
+	now := time.Now()
+	v := &peers.View{Members: make(map[string]peers.Member), At: now, Since: now}
+	for i := range each {
+		for _, z := range zones {
+			vm := pollendoor.VM{Name: fmt.Sprintf("vm-%s-%d", z, i), Zone: z}
+			if vm.Name == self {
+				v.Self = vm
+				continue
+			}
+			v.Members[vm.Name] = peers.Member{VM: vm, ID: vm.Name + "#1", Heard: now, Listed: now}
+		}
+	}
+	return v
+}
+
+// TestHomesAgree has every VM work out the homes of a group: all come to the
+// same, one in each zone, and a VM that leaves moves only its own.
+func TestHomesAgree(t *testing.T) {
+	zones := []string{"a", "b", "c"}
+	want := view("vm-a-0", zones, 3).Homes("potes/potes-1")
+	if len(want) != len(zones) {
+		t.Fatalf("got %d homes, want one in each zone", len(want))
+	}
+	for _, z := range zones {
+		for i := range 3 {
+			name := fmt.Sprintf("vm-%s-%d", z, i)
+			got := view(name, zones, 3).Homes("potes/potes-1")
+			if fmt.Sprint(got) != fmt.Sprint(want) {
+				t.Errorf("%s: got homes %v, want %v", name, got, want)
+			}
+		}
+	}
+	moved := 0
+	left := view("vm-a-0", zones, 3)
+	m := left.Members["vm-b-1"]
+	m.Leaving = true
+	left.Members["vm-b-1"] = m
+	for i := range 300 {
+		group := fmt.Sprint("g", i)
+		before, after := view("vm-a-0", zones, 3).Homes(group), left.Homes(group)
+		for _, h := range after {
+			if h.Name == "vm-b-1" {
+				t.Fatalf("got a leaving VM as a home of %s", group)
+			}
+		}
+		if fmt.Sprint(before) != fmt.Sprint(after) {
+			moved++
+		}
+	}
+	if moved < 60 || moved > 140 {
+		t.Errorf("got homes of %d of 300 groups moved, want about those of the leaving VM", moved)
+	}
+}
+
+func TestGone(t *testing.T) {
+	now := time.Now()
+	v := view("vm-a-0", []string{"a"}, 2)
+	v.SelfID = "vm-a-0#2"
+	v.Listed = map[string]bool{"vm-a-1": true, "vm-a-7": true}
+	tests := []struct {
+		id   string
+		want bool
+	}{
+		{"vm-a-0#2", false}, // itself
+		{"vm-a-0#1", true},  // an earlier process of this VM
+		{"vm-a-1#1", false}, // answers
+		{"vm-a-1#0", true},  // answers as another process
+		{"vm-a-7#1", true},  // was listed and is no more
+		{"vm-a-9#1", false}, // never listed: may be too new
+	}
+	for _, tc := range tests {
+		if got := v.Gone(tc.id); got != tc.want {
+			t.Errorf("%s: got %v, want %v", tc.id, got, tc.want)
+		}
+	}
+	v.At = now.Add(time.Hour)
+	if !v.Gone("vm-a-9#1") {
+		t.Error("got a VM that was never listed in an hour taken for alive, want gone")
+	}
+}
+
+// TestStrangerGetsNothing shakes hands with the secret and without it.
+func TestStrangerGetsNothing(t *testing.T) {
+	own, err := peers.Secure("the secret of the fleet")
+	if err != nil {
+		t.Fatal(err)
+	}
+	other, err := peers.Secure("a guess of a stranger")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		name   string
+		client *tls.Config
+		want   bool
+	}{
+		{"peer", own, true},
+		{"stranger with a key", other, false},
+		{"stranger without", &tls.Config{InsecureSkipVerify: true}, false},
+	}
+	for _, tc := range tests {
+		a, b := net.Pipe()
+		deadline := time.Now().Add(10 * time.Second)
+		a.SetDeadline(deadline)
+		b.SetDeadline(deadline)
+		go func() {
+			c := tls.Client(b, tc.client)
+			if c.Handshake() == nil {
+				c.Read(make([]byte, 1)) // the server's alert
+			}
+			b.Close()
+		}()
+		err := tls.Server(a, own).Handshake()
+		a.Close()
+		if got := err == nil; got != tc.want {
+			t.Errorf("%s: got let in %v (%v), want %v", tc.name, got, err, tc.want)
+		}
+	}
+	if _, err := peers.Secure("short"); err == nil {
+		t.Error("got a short secret taken, want an error")
+	}
+}
--- a/peers/wire.go
+++ b/peers/wire.go
@@ -122,9 +122,9 @@
 	idle map[string][]*drpcconn.Conn
 }
 
-func (d *dialer) get(ctx context.Context, addr string) (*drpcconn.Conn, bool, error) {
+func (d *dialer) get(ctx context.Context, addr string) (*drpcconn.Conn, error) {
 	if d.cut != nil && d.cut(addr) {
-		return nil, false, errors.New("peer is cut off")
+		return nil, errors.New("peer is cut off")
 	}
 	d.mu.Lock()
 	for list := d.idle[addr]; len(list) > 0; list = d.idle[addr] {
@@ -136,20 +136,20 @@
 		default:
 		}
 		d.mu.Unlock()
-		return c, true, nil
+		return c, nil
 	}
 	d.mu.Unlock()
 	var nd net.Dialer
 	raw, err := nd.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return nil, false, errors.Wrap(err, "dial peer")
+		return nil, errors.Wrap(err, "dial peer")
 	}
 	n := tls.Client(counted{raw}, d.tls)
 	if err := n.HandshakeContext(ctx); err != nil {
 		raw.Close()
-		return nil, false, errors.Wrap(err, "secure the connection to a peer")
+		return nil, errors.Wrap(err, "secure the connection to a peer")
 	}
-	return drpcconn.NewWithOptions(n, drpcconn.Options{Manager: managerOptions()}), false, nil
+	return drpcconn.NewWithOptions(n, drpcconn.Options{Manager: managerOptions()}), nil
 }
 
 func (d *dialer) put(addr string, c *drpcconn.Conn) {
@@ -167,7 +167,7 @@
 
 // invoke makes one call.
 func (d *dialer) invoke(ctx context.Context, addr, rpc string, in, out drpc.Message) error {
-	c, _, err := d.get(ctx, addr)
+	c, err := d.get(ctx, addr)
 	if err != nil {
 		return err
 	}
