entry, pool: fewer allocations for each statement

Change: a digest is taken only where a request id may stand for it; a connection's plan is used again; one time limit for entry and home.

--- a/entry/batch.go
+++ b/entry/batch.go
@@ -24,17 +24,18 @@
 	frames  []byte
 	ops     []op
 	uses    []pollendoor.Prepared
-	parsed  map[string]bool
+	parsed  []string // names of statements that targets have or get
 	shape   []byte
 	digest  *digest
 	fail    *pollendoor.Refusal
 	flushed bool     // part of it has been sent with Flush
+	begins  bool     // opens a transaction
 	fresh   []string // names that the caller gave to statements in this batch
 	parses  int      // of those, how many the target has confirmed
 }
 
 func (b *batch) reset() {
-	*b = batch{frames: b.frames[:0], ops: b.ops[:0], uses: b.uses[:0], shape: b.shape[:0], fresh: b.fresh[:0]}
+	*b = batch{frames: b.frames[:0], ops: b.ops[:0], uses: b.uses[:0], shape: b.shape[:0], fresh: b.fresh[:0], parsed: b.parsed[:0]}
 }
 
 // add appends a message under the names that targets know.
@@ -60,18 +61,11 @@
 
 // use notes that the batch needs a statement that an earlier one parsed.
 func (b *batch) use(st *prepared) {
-	if b.parsed[st.Name] {
+	if slices.Contains(b.parsed, st.Name) {
 		return
 	}
 	b.uses = append(b.uses, st.Prepared)
-	b.markParsed(st.Name)
-}
-
-func (b *batch) markParsed(name string) {
-	if b.parsed == nil {
-		b.parsed = make(map[string]bool)
-	}
-	b.parsed[name] = true
+	b.parsed = append(b.parsed, st.Name)
 }
 
 func (b *batch) sum() *digest {
@@ -107,7 +101,7 @@
 	}
 	s.stmts[m.Name] = p
 	s.batch.fresh = append(s.batch.fresh, m.Name)
-	s.batch.markParsed(p.Name)
+	s.batch.parsed = append(s.batch.parsed, p.Name)
 	s.batch.add(&pgproto3.Parse{Name: p.Name, Query: p.SQL, ParameterOIDs: p.OIDs}, op{kind: 'P', stmt: p})
 }
 
@@ -123,9 +117,12 @@
 	}
 	s.portals[m.DestinationPortal] = st
 	s.batch.use(st)
-	d := s.batch.sum()
-	d.statement(st.SQL)
-	d.params(m)
+	s.batch.begins = s.batch.begins || st.statement.Kind == route.Begin
+	if s.mayBeKeyed(st) {
+		d := s.batch.sum()
+		d.statement(st.SQL)
+		d.params(m)
+	}
 	bound := *m
 	bound.PreparedStatement = st.Name
 	s.batch.add(&bound, op{kind: 'B', stmt: st})
@@ -134,6 +131,13 @@
 	}
 }
 
+// mayBeKeyed reports whether a request id stands for the statement, or may yet
+// come with the end of its transaction.
+func (s *session) mayBeKeyed(st *prepared) bool {
+	return s.status != 'I' || s.batch.begins || st.statement.Wishes.RequestID != "" ||
+		s.wishes.RequestID != "" || s.local.RequestID != ""
+}
+
 func (s *session) describe(m *pgproto3.Describe) {
 	table, name := s.portals, m.Name
 	if m.ObjectType == 'S' {
--- a/entry/run.go
+++ b/entry/run.go
@@ -114,7 +114,7 @@
 }
 
 func (s *session) runAdmitted(x *pollendoor.Exchange, o *pollendoor.Observation) *pollendoor.Refusal {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithTimeout(context.Background(), x.Timeout)
 	s.mu.Lock()
 	s.cancelFn = cancel
 	s.mu.Unlock()
@@ -218,6 +218,9 @@
 		if len(w.statements) != 1 || w.flush || w.flushed || w.statements[0].Kind != route.Write {
 			return pollendoor.Refuse(pollendoor.CodeNotSupported, "a request id wants a single statement or a transaction", "")
 		}
+		if w.digest == nil {
+			return pollendoor.Refuse(pollendoor.CodeNotSupported, "a request id must be set before its statement is bound", "")
+		}
 		x.RequestID, x.Digest = id, w.digest.text()
 		s.wishes.RequestID = ""
 		return nil
--- a/home/link.go
+++ b/home/link.go
@@ -87,10 +87,14 @@
 	}
 }
 
-// Run runs one exchange.
+// Run runs one exchange until its time is up, or until ctx's is if ctx has a
+// deadline.
 func (l *Link) Run(ctx context.Context, x *pollendoor.Exchange, sink pollendoor.Sink) pollendoor.Answer {
-	ctx, cancel := context.WithTimeout(ctx, x.Timeout)
-	defer cancel()
+	if _, ok := ctx.Deadline(); !ok {
+		timed, cancel := context.WithTimeout(ctx, x.Timeout)
+		defer cancel()
+		ctx = timed
+	}
 	l.group.used.Store(time.Now().UnixNano())
 	r := &pool.Reply{Limit: spillAt, Spill: sink}
 	var a pollendoor.Answer
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -30,8 +30,12 @@
 	idleAt   time.Time
 	status   byte // of the last ReadyForQuery
 	broken   bool
+	plan     plan
 }
 
+// has reports whether a statement is parsed on the connection.
+func (c *Conn) has(name string) bool { return c.prepared[name] }
+
 // Reply collects the frames of an answer. Frames beyond Limit bytes are handed
 // to Spill as they come, so that a large answer needs no large buffer; what came
 // last stays in Frames until the caller of Run sends it.
@@ -56,8 +60,8 @@
 // is broken, and the exchange may or may not have run. When ctx ends, the target
 // is asked to cancel, and its own answer still is awaited for a moment.
 func (c *Conn) Run(ctx context.Context, x *pollendoor.Exchange, r *Reply) error {
-	p, err := makePlan(x, func(n string) bool { return c.prepared[n] })
-	if err != nil {
+	p := &c.plan
+	if err := p.make(x, c.has); err != nil {
 		return err
 	}
 	stop := c.cancelWith(ctx)
@@ -66,7 +70,7 @@
 	if _, err := c.Net.Write(p.out); err != nil {
 		return errors.Wrap(err, "send to target")
 	}
-	if err := c.collect(&p, x.Flush, r); err != nil {
+	if err := c.collect(p, x.Flush, r); err != nil {
 		return err
 	}
 	c.broken = false
--- a/pool/plan.go
+++ b/pool/plan.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -30,7 +31,11 @@
 // answers to expect.
 type plan struct {
 	out []byte
-	ops []op
+	ops []op // still expected
+
+	all    []op // the memory of ops
+	frames []frame
+	sent   []string // statements that the batch itself parses
 }
 
 // frame is one frontend message within a batch.
@@ -40,9 +45,8 @@
 	raw  []byte
 }
 
-// cutFrames cuts a batch into its messages.
-func cutFrames(batch []byte) ([]frame, error) {
-	var list []frame
+// cutFrames appends the messages of a batch to list.
+func cutFrames(list []frame, batch []byte) ([]frame, error) {
 	for len(batch) > 0 {
 		if len(batch) < 5 {
 			return nil, errors.New("batch ends within a message")
@@ -65,46 +69,53 @@
 	return string(b[:n])
 }
 
-// makePlan leaves out the parsing of statements that the connection has, adds
-// that of statements it lacks, and lists the answers to expect.
-func makePlan(x *pollendoor.Exchange, has func(name string) bool) (plan, error) {
-	var p plan
-	frames, err := cutFrames(x.Frames)
+// make leaves out the parsing of statements that the connection has, adds that
+// of statements it lacks, and lists the answers to expect. The plan's earlier
+// memory is used again.
+func (p *plan) make(x *pollendoor.Exchange, has func(name string) bool) error {
+	p.out, p.all, p.sent = p.out[:0], p.all[:0], p.sent[:0]
+	p.ops = p.all
+	frames, err := cutFrames(p.frames[:0], x.Frames)
 	if err != nil {
-		return p, err
-	}
-	parsed := make(map[string]bool)
-	for _, f := range frames {
-		if f.kind == 'P' {
-			parsed[cstring(f.body)] = true
-		}
+		return err
 	}
+	p.frames = frames
 	for _, u := range x.Uses {
-		if parsed[u.Name] || u.Name != "" && has(u.Name) {
+		if parses(frames, u.Name) || u.Name != "" && has(u.Name) {
 			continue
 		}
 		m := pgproto3.Parse{Name: u.Name, Query: u.SQL, ParameterOIDs: u.OIDs}
 		if p.out, err = m.Encode(p.out); err != nil {
-			return p, err
+			return err
 		}
 		p.ops = append(p.ops, op{kind: 'P', name: u.Name, mode: swallow})
 	}
-	sent := make(map[string]bool)
 	for _, f := range frames {
-		p.add(f, has, sent)
+		p.add(f, has)
+	}
+	p.all = p.ops
+	return nil
+}
+
+// parses reports whether a batch itself parses the statement called name.
+func parses(frames []frame, name string) bool {
+	for _, f := range frames {
+		if f.kind == 'P' && cstring(f.body) == name {
+			return true
+		}
 	}
-	return p, nil
+	return false
 }
 
-func (p *plan) add(f frame, has func(string) bool, sent map[string]bool) {
+func (p *plan) add(f frame, has func(string) bool) {
 	switch f.kind {
 	case 'P':
 		name := cstring(f.body)
-		if name != "" && (has(name) || sent[name]) {
+		if name != "" && (has(name) || slices.Contains(p.sent, name)) {
 			p.ops = append(p.ops, op{kind: 'P', name: name, mode: invent})
 			return
 		}
-		sent[name] = true
+		p.sent = append(p.sent, name)
 		p.ops = append(p.ops, op{kind: 'P', name: name})
 	case 'C':
 		if len(f.body) > 0 && f.body[0] == 'S' {
