home: refuse a read that nothing proves after a second; homes in a group's zones only

Homes are taken from the zones of a group's targets, so a target meets three homes and not one of every zone.

--- a/home/ack.go
+++ b/home/ack.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pollendoor/pollendoor"
@@ -49,13 +50,19 @@
 	return false
 }
 
+// stableWait is how long a read at the primary waits for a replica to hold what
+// it saw. A replica that takes longer is likely to be cut off.
+const stableWait = time.Second
+
 // awaitStable waits until all that a read at the primary may have seen is known
 // to outlive it: what the primary has after the read was at a replica at some
-// time. It reports false if that did not happen before ctx ended.
-func (g *Group) awaitStable(ctx context.Context, primary string, term pollendoor.Term) bool {
+// time. It returns why that did not happen within stableWait, empty if it did.
+func (g *Group) awaitStable(ctx context.Context, primary string, term pollendoor.Term) string {
+	ctx, cancel := context.WithTimeout(ctx, stableWait)
+	defer cancel()
 	read := time.Now()
 	var upTo uint64
-	return g.await(ctx, func(v *view) bool {
+	ok := g.await(ctx, func(v *view) bool {
 		if v.rec.Term != term {
 			return true // decided below
 		}
@@ -66,13 +73,18 @@
 		if s := m.seen.Load(); upTo == 0 && s != nil && s.Asked.After(read) {
 			upTo = s.Status.Index
 		}
-		return upTo > 0 && g.attestedIndex(v) >= upTo
-	}) && g.view.Load().rec.Term == term
+		return upTo > 0 && attestedIndex(v) >= upTo
+	})
+	v := g.view.Load()
+	if ok && v.rec.Term == term {
+		return ""
+	}
+	return fmt.Sprintf("%s: read in term %d up to index %d, now term %d, replicas were seen up to %d", Unproven, term, upTo, v.rec.Term, attestedIndex(v))
 }
 
 // attestedIndex returns the newest index that a replica of the record's term
 // has been seen to hold.
-func (g *Group) attestedIndex(v *view) uint64 {
+func attestedIndex(v *view) uint64 {
 	var most uint64
 	for _, m := range v.members {
 		if s := m.seen.Load(); s != nil && s.Status.Role == pollendoor.Replica && s.Status.Term == v.rec.Term {
--- a/home/host.go
+++ b/home/host.go
@@ -161,6 +161,19 @@
 	return g, ok
 }
 
+// Zones returns the zones in which a group has targets, none if it is not known.
+func (h *Host) Zones(name string) []string {
+	g, ok := h.Group(name)
+	if !ok {
+		return nil
+	}
+	var list []string
+	for _, m := range g.view.Load().members {
+		list = append(list, m.addr.Zone)
+	}
+	return list
+}
+
 // Groups returns the names of the groups known.
 func (h *Host) Groups() []string {
 	var list []string
--- a/home/link.go
+++ b/home/link.go
@@ -266,8 +266,8 @@
 	p.release()
 	l.pin = nil
 	if e.answer.Position.IsZero() && p.primary && r.Err == nil && x.Ack != pollendoor.AckBlind {
-		if !l.group.awaitStable(ctx, primary, term) {
-			e.result, e.cause = retry.Unacked, "the primary holds writes that no replica has"
+		if why := l.group.awaitStable(ctx, primary, term); why != "" {
+			e.result, e.cause = retry.Unacked, why
 		}
 		return e
 	}
@@ -323,5 +323,9 @@
 	return e.answer
 }
 
+// Unproven is the cause of refusing a read whose answer might show a write that
+// the next primary never had.
+const Unproven = "the primary holds writes that no replica has"
+
 // codeRolledBack is serialization_failure, which callers repeat.
 const codeRolledBack = "40001"
--- a/node/node.go
+++ b/node/node.go
@@ -100,7 +100,8 @@
 	n.fleet = peers.New(peers.Options{
 		Self: opt.VM, ID: n.id, TLS: secure, Store: opt.Store, Mirror: &n.mirror, Runner: n.host,
 		Fill: n.fill, Transfer: func(t limit.Transfer) bool { return n.keeper.Receive(t) }, Cut: opt.Cut, Log: opt.Log,
-		Asked: func(a peers.Ask) { n.keeper.Asked(a) },
+		ZonesOf: n.host.Zones,
+		Asked:   func(a peers.Ask) { n.keeper.Asked(a) },
 	})
 	n.forward = &peers.Forwarder{Fleet: n.fleet, Local: n.host}
 	n.guard = &access.Guard{
--- a/peers/fleet.go
+++ b/peers/fleet.go
@@ -51,6 +51,8 @@
 	Fill func(b *Beat)
 	// Transfer takes units from a peer.
 	Transfer func(t limit.Transfer) bool
+	// ZonesOf returns the zones in which a group has targets.
+	ZonesOf func(group string) []string
 	// Asked hears that a peer has run short of units.
 	Asked func(a Ask)
 	// Cut reports whether a peer is out of reach, for tests.
@@ -145,7 +147,7 @@
 func (f *Fleet) publish() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	v := &View{Self: f.opt.Self, Members: make(map[string]Member, len(f.members)), At: time.Now(), Drained: f.drained, SelfID: f.opt.ID, Since: f.since, InList: f.inList, Listed: f.ever}
+	v := &View{Self: f.opt.Self, Members: make(map[string]Member, len(f.members)), At: time.Now(), Drained: f.drained, SelfID: f.opt.ID, Since: f.since, InList: f.inList, Listed: f.ever, ZonesOf: f.opt.ZonesOf}
 	for n, m := range f.members {
 		v.Members[n] = m
 	}
--- a/peers/peers_test.go
+++ b/peers/peers_test.go
@@ -44,6 +44,13 @@
 			}
 		}
 	}
+	near := view("vm-a-0", zones, 3)
+	near.ZonesOf = func(string) []string { return []string{"b", "c", "z"} }
+	for _, h := range near.Homes("potes/potes-1") {
+		if h.Zone == "a" {
+			t.Error("got a home in a zone without targets")
+		}
+	}
 	moved := 0
 	left := view("vm-a-0", zones, 3)
 	m := left.Members["vm-b-1"]
--- a/peers/view.go
+++ b/peers/view.go
@@ -55,6 +55,10 @@
 	Since   time.Time       // when the list was first read, zero for never
 	InList  bool            // the list has this VM
 
+	// ZonesOf returns the zones in which a group has targets; none, or a nil
+	// function, stands for all.
+	ZonesOf func(group string) []string
+
 	homes     sync.Map // group name to its homes, worked out once
 	watchOnce sync.Once
 	watchers  map[string][]pollendoor.VM
@@ -83,14 +87,16 @@
 }
 
 // Homes returns the VMs that are homes of a group, best first: the first of
-// each zone by rendezvous score, as of the view's moment. The list is shared and
+// each zone that has a target, by rendezvous score, as of the view's moment. The list is shared and
 // must not be changed.
 func (v *View) Homes(group string) []pollendoor.VM {
 	if h, ok := v.homes.Load(group); ok {
 		return h.([]pollendoor.VM)
 	}
 	var list []pollendoor.VM
-	for _, z := range v.ranked(group, v.At) {
+	zones := v.ranked(group, v.At)
+	v.keepZones(zones, group)
+	for _, z := range zones {
 		list = append(list, z[:min(HomesPerZone, len(z))]...)
 	}
 	sort.Slice(list, func(i, j int) bool { return score(list[i].Name, group) > score(list[j].Name, group) })
@@ -98,6 +104,28 @@
 	return list
 }
 
+// keepZones leaves out the zones in which the group has no targets, if there are
+// live VMs in those where it has.
+func (v *View) keepZones(zones map[string][]pollendoor.VM, group string) {
+	if v.ZonesOf == nil {
+		return
+	}
+	near := make(map[string]bool)
+	for _, z := range v.ZonesOf(group) {
+		if len(zones[z]) > 0 {
+			near[z] = true
+		}
+	}
+	if len(near) == 0 {
+		return
+	}
+	for z := range zones {
+		if !near[z] {
+			delete(zones, z)
+		}
+	}
+}
+
 // watchersPerZone is how many VMs of each zone watch the platform's store.
 const watchersPerZone = 2
 
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -53,7 +53,7 @@
 		return Finish
 	}
 	certain := a.Result == NotSent || a.Result == Refused || a.Result == CutOff
-	repeatable := certain || a.Read || a.Keyed && a.Result != Unacked
+	repeatable := certain || (a.Read || a.Keyed) && a.Result != Unacked
 	if a.Spilled {
 		repeatable = false
 	}
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -23,6 +23,7 @@
 		{"read lost", retry.Attempt{Result: retry.Lost, Read: true, Left: left}, retry.Again},
 		{"read lost after rows went out", retry.Attempt{Result: retry.Lost, Read: true, Spilled: true, Left: left}, retry.SayUnknown},
 		{"write cut off by a promotion", retry.Attempt{Result: retry.CutOff, Left: left}, retry.Again},
+		{"read of what no replica has", retry.Attempt{Result: retry.Unacked, Read: true, Left: left}, retry.SayNotRun},
 		{"write not attested in time", retry.Attempt{Result: retry.Unacked, Keyed: true}, retry.SayUnknown},
 	}
 	for _, tc := range tests {
