group: send no purge to a primary that may be cut off

A VM that becomes the first home (as in a zone on its own) at once removed old rows of used keys, and that write could never be attested. Change: a purge is decided by group.ShouldPurge, which wants a replica that attests, and its first time is a minute after the start.

--- a/group/ack.go
+++ b/group/ack.go
@@ -32,3 +32,13 @@
 	}
 	return false
 }
+
+// purgeEvery is the time between removals of old rows of used keys.
+const purgeEvery = time.Minute
+
+// ShouldPurge reports whether old rows of used keys are to be removed now. A
+// primary that may be cut off is sent no write of the system's own: nothing
+// could prove a read behind it.
+func ShouldPurge(rec *pollendoor.GroupRecord, seen map[string]Seen, last, now time.Time) bool {
+	return now.Sub(last) > purgeEvery && rec.Phase == pollendoor.Serving && CanAttest(rec, seen, now)
+}
--- a/group/group_test.go
+++ b/group/group_test.go
@@ -27,6 +27,29 @@
 	}
 }
 
+// TestNoPurgeAtCutOffPrimary sends a primary that no replica attests nothing of
+// the system's own.
+func TestNoPurgeAtCutOffPrimary(t *testing.T) {
+	now := time.Unix(1000, 0)
+	rec := &pollendoor.GroupRecord{Term: 2, Phase: pollendoor.Serving, Primary: "t1", Targets: []pollendoor.TargetAddr{{Name: "t1"}, {Name: "t2"}}}
+	replica := pollendoor.TargetStatus{Role: pollendoor.Replica, Term: 2, Fenced: 2, Index: 9}
+	for _, tc := range []struct {
+		name  string
+		asked time.Time
+		last  time.Time
+		want  bool
+	}{
+		{"replica seen lately", now, now.Add(-time.Hour), true},
+		{"replica not seen", now.Add(-5 * time.Second), now.Add(-time.Hour), false},
+		{"done lately", now, now.Add(-time.Second), false},
+	} {
+		seen := map[string]group.Seen{"t2": {Status: replica, Asked: tc.asked}}
+		if got := group.ShouldPurge(rec, seen, tc.last, now); got != tc.want {
+			t.Errorf("%s: got %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
 func TestSuspicionWantsAnotherZone(t *testing.T) {
 	now := time.Unix(100, 0)
 	rec := &pollendoor.GroupRecord{Term: 3, Phase: pollendoor.Serving, Primary: "t1", Targets: []pollendoor.TargetAddr{{Name: "t1"}}}
--- a/home/group.go
+++ b/home/group.go
@@ -60,6 +60,7 @@
 		host:   h,
 		name:   name,
 		since:  time.Now(),
+		purged: time.Now(),
 		update: make(chan struct{}),
 		kick:   make(chan struct{}),
 	}
--- a/home/promote.go
+++ b/home/promote.go
@@ -25,8 +25,6 @@
 	stepTimeout = 400 * time.Millisecond
 	// stepRetry is the wait between tries of a step.
 	stepRetry = 30 * time.Millisecond
-	// purgeEvery is the time between removals of old rows of used keys.
-	purgeEvery = time.Minute
 )
 
 // termTable is where each term's first entry goes.
@@ -55,7 +53,7 @@
 		if now.Sub(v.changed) > time.Duration(rank)*group.RankDelay {
 			g.rejoin(ctx, v)
 		}
-		if rank == 0 && v.rec.Phase == pollendoor.Serving && now.Sub(g.purged) > purgeEvery {
+		if rank == 0 && group.ShouldPurge(&v.rec, v.seen(), g.purged, now) {
 			g.purge(ctx, v, now)
 		}
 	}
