group: a VM that was paused begins its watch anew; load: check through any VM

Cause: a VM process stopped for 3 s claimed a new term the moment it went on: it had not seen the primary, and the others' opinions were old by its clock. A false suspicion costs a gap, not a write. And load checked its rows through its first address only, so it failed when that VM was lost. Change: a look at a group that comes more than 400 ms late restarts the watch; load connects to the first address that answers.

--- a/group/group_test.go
+++ b/group/group_test.go
@@ -76,6 +76,25 @@
 	}
 }
 
+// TestPausedVMDoubtsNobody resumes a VM after seconds: its watch begins anew, so
+// it claims no term at once.
+func TestPausedVMDoubtsNobody(t *testing.T) {
+	now := time.Unix(100, 0)
+	rec := &pollendoor.GroupRecord{Term: 3, Phase: pollendoor.Serving, Primary: "t1", Targets: []pollendoor.TargetAddr{{Name: "t1"}}}
+	seen := map[string]group.Seen{"t1": {Status: pollendoor.TargetStatus{Role: pollendoor.Primary, Term: 3}, Asked: now.Add(-3 * time.Second)}}
+	s := group.Sight{Record: rec, Seen: seen, Changed: now.Add(-time.Hour), Since: now.Add(-time.Hour)}
+	if got, _ := group.ShouldPromote(s, now); !got {
+		t.Error("got no promotion of a primary unseen for 3 s by a VM that was awake, want one")
+	}
+	if !group.WasPaused(now.Add(-3*time.Second), now) || group.WasPaused(now.Add(-50*time.Millisecond), now) {
+		t.Error("got a pause of 3 s taken for none, or one of 50 ms for a pause")
+	}
+	s.Since = now
+	if got, cause := group.ShouldPromote(s, now.Add(100*time.Millisecond)); got {
+		t.Errorf("got a promotion by a VM just resumed (%s), want none", cause)
+	}
+}
+
 // fakeTarget is a target in memory.
 type fakeTarget struct {
 	status pollendoor.TargetStatus
--- a/group/suspect.go
+++ b/group/suspect.go
@@ -19,6 +19,15 @@
 	RankDelay = 250 * time.Millisecond
 )
 
+// pauseLength is the time between two looks of a VM at a group beyond which the
+// VM itself was paused.
+const pauseLength = 400 * time.Millisecond
+
+// WasPaused reports whether a VM that last looked at a group at last was itself
+// paused until now. Its watch begins anew then: that it has not seen a primary
+// says nothing of the primary.
+func WasPaused(last, now time.Time) bool { return now.Sub(last) > pauseLength }
+
 // Seen is the newest status a VM has of a target.
 type Seen struct {
 	Status pollendoor.TargetStatus
--- a/home/group.go
+++ b/home/group.go
@@ -43,7 +43,7 @@
 type Group struct {
 	host    *Host
 	name    string
-	since   time.Time
+	since   atomic.Int64 // unix ns since when this VM watches without a pause
 	view    atomic.Pointer[view]
 	waiters atomic.Int64 // writes and reads that wait for a status
 	used    atomic.Int64 // unix ns of the last exchange run here
@@ -59,12 +59,12 @@
 	g := &Group{
 		host:   h,
 		name:   name,
-		since:  time.Now(),
 		purged: time.Now(),
 		update: make(chan struct{}),
 		kick:   make(chan struct{}),
 	}
 	g.view.Store(&view{changed: time.Now()})
+	g.since.Store(time.Now().UnixNano())
 	return g
 }
 
@@ -188,13 +188,16 @@
 	return v.rec.Term, down
 }
 
+// watching returns since when this VM watches the group without a pause.
+func (g *Group) watching() time.Time { return time.Unix(0, g.since.Load()) }
+
 func (g *Group) sight(v *view) group.Sight {
 	rank, _ := g.host.opt.Rank(g.name)
 	return group.Sight{
 		Record:   &v.rec,
 		Changed:  v.changed,
 		Seen:     v.seen(),
-		Since:    g.since,
+		Since:    g.watching(),
 		Zone:     g.host.opt.Zone,
 		Rank:     rank,
 		Vantages: g.host.opt.Vantages(g.name),
--- a/home/pick.go
+++ b/home/pick.go
@@ -84,7 +84,7 @@
 	if m == nil {
 		return nil, "the primary is not among the targets"
 	}
-	down, cause := group.Down(group.Sight{Record: &v.rec, Seen: v.seen(), Since: g.since}, now)
+	down, cause := group.Down(group.Sight{Record: &v.rec, Seen: v.seen(), Since: g.watching()}, now)
 	if down {
 		return nil, cause
 	}
--- a/home/promote.go
+++ b/home/promote.go
@@ -35,7 +35,12 @@
 func (g *Group) drive(ctx context.Context) {
 	doubted := false
 	for ctx.Err() == nil {
+		last := time.Now()
 		pause(ctx, driveEvery)
+		if group.WasPaused(last, time.Now()) {
+			g.explain("paused", fmt.Sprintf("this VM did nothing for %d ms; what it has not seen meanwhile says nothing", time.Since(last).Milliseconds()))
+			g.since.Store(time.Now().UnixNano())
+		}
 		rank, home := g.host.opt.Rank(g.name)
 		if !home {
 			continue
--- a/load/load.go
+++ b/load/load.go
@@ -123,15 +123,28 @@
 
 // setUp creates the table and returns a token that covers it.
 func (r *run) setUp(ctx context.Context) (string, error) {
-	c, err := pgx.Connect(ctx, r.opt.URLs[0])
+	c, err := r.connectAny(ctx)
 	if err != nil {
-		return "", errors.Wrap(err, "connect")
+		return "", err
 	}
 	defer c.Close(ctx)
 	_, err = c.Exec(ctx, "CREATE TABLE IF NOT EXISTS load_gift (run TEXT, id TEXT, pot BIGINT, amount BIGINT)")
 	return c.PgConn().ParameterStatus("pollendoor.session"), errors.Wrap(err, "create table")
 }
 
+// connectAny connects to the first address that takes it: some may be lost.
+func (r *run) connectAny(ctx context.Context) (*pgx.Conn, error) {
+	var failed error
+	for _, u := range r.opt.URLs {
+		c, err := pgx.Connect(ctx, u)
+		if err == nil {
+			return c, nil
+		}
+		failed = err
+	}
+	return nil, errors.Wrap(failed, "no address takes a connection")
+}
+
 func (r *run) progress(ctx context.Context) {
 	t := time.NewTicker(time.Second)
 	defer t.Stop()
@@ -343,9 +356,9 @@
 
 // stored reads at the primary how often each id is there.
 func (r *run) stored(ctx context.Context) (map[string]int, error) {
-	c, err := pgx.Connect(ctx, r.opt.URLs[0])
+	c, err := r.connectAny(ctx)
 	if err != nil {
-		return nil, errors.Wrap(err, "connect for the check")
+		return nil, err
 	}
 	defer c.Close(ctx)
 	counts := make(map[string]int)
