--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -38,6 +38,7 @@
 	platform *fakes.Platform
 	group    *fakes.Group
 	servers  []*entry.Server
+	hosts    []*home.Host
 }
 
 func newRig(t *testing.T, vms int, opt fakes.TargetOptions) *rig {
@@ -73,6 +74,7 @@
 		}
 		t.Cleanup(s.Stop)
 		r.servers = append(r.servers, s)
+		r.hosts = append(r.hosts, h)
 		for h.Ready() != nil {
 			time.Sleep(5 * time.Millisecond)
 		}
--- /dev/null
+++ b/entry/protocol_test.go
@@ -0,0 +1,108 @@
+package entry_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"math/big"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/pollendoor/pollendoor/entry"
+	"github.com/pollendoor/pollendoor/fakes"
+)
+
+// TestPipelines sends several statements at once: as a driver's batch, and as a
+// pipeline that asks for answers before its Sync.
+func TestPipelines(t *testing.T) {
+	r := newRig(t, 1, fakes.TargetOptions{})
+	ctx := context.Background()
+	c := connect(t, r.url(0))
+	exec(t, c, "CREATE TABLE gift (id BIGINT)")
+	var b pgx.Batch
+	for i := range 3 {
+		b.Queue("INSERT INTO gift VALUES ($1)", i)
+	}
+	b.Queue("SELECT count(*) FROM gift")
+	var n int
+	res := c.SendBatch(ctx, &b)
+	for range 3 {
+		if _, err := res.Exec(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := res.QueryRow().Scan(&n); err != nil || n != 3 {
+		t.Errorf("got %d rows and %v in the batch, want 3", n, err)
+	}
+	if err := res.Close(); err != nil {
+		t.Fatal(err)
+	}
+	p := c.PgConn().StartPipeline(ctx)
+	p.SendQueryParams("INSERT INTO gift VALUES (9)", nil, nil, nil, nil)
+	p.SendFlushRequest()
+	if err := p.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p.GetResults(); err != nil {
+		t.Errorf("got %v for the flushed part, want its answer", err)
+	}
+	p.SendQueryParams("INSERT INTO gift VALUES (10)", nil, nil, nil, nil)
+	if err := p.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.QueryRow(ctx, "SELECT count(*) FROM gift").Scan(&n); err != nil || n != 5 {
+		t.Errorf("got %d rows and %v after the pipeline, want 5", n, err)
+	}
+}
+
+// TestLargeAnswer reads an answer larger than what is kept back.
+func TestLargeAnswer(t *testing.T) {
+	r := newRig(t, 1, fakes.TargetOptions{})
+	c := connect(t, r.url(0))
+	rows, err := c.Query(context.Background(), "WITH RECURSIVE s(n) AS (SELECT 1 UNION ALL SELECT n + 1 FROM s WHERE n < 30000) SELECT n, 'some text to make it longer' FROM s")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := 0
+	for rows.Next() {
+		got++
+	}
+	if want := 30000; rows.Err() != nil || got != want {
+		t.Errorf("got %d rows and %v, want %d", got, rows.Err(), want)
+	}
+}
+
+// TestRequiredTLS lets only encrypted connections in.
+func TestRequiredTLS(t *testing.T) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert := &x509.Certificate{SerialNumber: big.NewInt(1), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour)}
+	der, err := x509.CreateCertificate(rand.Reader, cert, cert, key.Public(), key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := newRig(t, 1, fakes.TargetOptions{})
+	s := entry.NewServer(entry.Options{
+		Runner: r.hosts[0], Access: open{}, RequireTLS: true,
+		TLS: &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}},
+	})
+	if err := s.Listen("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Stop)
+	url := "postgres://u:p@" + s.Addr() + "/potes-1?sslmode="
+	exec(t, connect(t, url+"require"), "SELECT 1")
+	if _, err := pgx.Connect(context.Background(), url+"disable"); code(err) != "28000" {
+		t.Errorf("got %v without encryption, want 28000", err)
+	}
+}
