--- a/peers/fleet.go
+++ b/peers/fleet.go
@@ -24,7 +24,7 @@
 	beatEvery = 300 * time.Millisecond
 	// ringEvery is the time between heartbeats in a fleet too large for a full
 	// mesh.
-	ringEvery   = 500 * time.Millisecond
+	ringEvery   = 600 * time.Millisecond
 	beatTimeout = 600 * time.Millisecond
 	// listEvery is how often a watcher reads the platform's list of VMs.
 	listEvery = time.Second
