all: one wait, one hand-over of units, one end for a lost target

Read once more as a whole: the wait for a time or the end of a context stood in five places (pollendoor.Pause serves them), the start of a transfer in three and the test for a VM to move units to in three (escrow give, partner), the end of what runs at a target lost from sight in two (home whileSeen). The number of attempts in an answer and two fields of a team were set and never read.

--- a/access/access.go
+++ b/access/access.go
@@ -66,8 +66,6 @@
 	routes []string
 	weight float64
 	batch  bool
-	late   time.Duration
-	goal   float64
 }
 
 // Refresh compiles the snapshot anew. It is called whenever the copies change.
@@ -139,7 +137,7 @@
 		g.Log.Error().Err(err).Str("team", name).Msg("keys can't be read, the team has none")
 	}
 	writeVersion(h, name, o.Version)
-	return team{ring: ring, routes: *set.Routes, weight: *set.Weight, batch: *set.Batch, late: time.Duration(*set.Late), goal: *set.Objective}
+	return team{ring: ring, routes: *set.Routes, weight: *set.Weight, batch: *set.Batch}
 }
 
 func (g *Guard) load() *snapshot {
--- a/escrow/ask.go
+++ b/escrow/ask.go
@@ -61,7 +61,7 @@
 	k.asked[team] = now
 	var list []peers.Member
 	for _, m := range k.opt.View().Members {
-		if m.Beat.Epoch == k.ledger.Epoch && now.Sub(m.Heard) <= peers.HeardFresh && m.Beat.Demands[team].Units > 0 {
+		if k.partner(m, now) && m.Beat.Demands[team].Units > 0 {
 			list = append(list, m)
 		}
 	}
@@ -83,11 +83,8 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := time.Now()
-	if to.ID == "" || a.Epoch != k.ledger.Epoch || k.busy[to.ID] || k.ctx.Err() != nil {
+	if to.ID == "" || a.Epoch != k.ledger.Epoch || k.ctx.Err() != nil {
 		return
 	}
-	if t, ok := k.ledger.Give(a.Team, to.ID, k.ledger.Answer(a.Team, now), now); ok {
-		k.busy[to.ID] = true
-		k.wg.Go(func() { k.deliver(t, to.Peer) })
-	}
+	k.give(limit.Move{Team: a.Team, To: to.ID, Units: k.ledger.Answer(a.Team, now)}, to.Peer, now)
 }
--- a/escrow/keeper.go
+++ b/escrow/keeper.go
@@ -116,12 +116,7 @@
 		k.settings()
 		k.follow()
 		k.share()
-		t := time.NewTimer(tick/2 + rand.N(tick))
-		select {
-		case <-t.C:
-		case <-k.ctx.Done():
-		}
-		t.Stop()
+		pollendoor.Pause(k.ctx, tick/2+rand.N(tick))
 	}
 }
 
--- a/escrow/share.go
+++ b/escrow/share.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pollendoor/pollendoor"
 	"github.com/pollendoor/pollendoor/limit"
 	"github.com/pollendoor/pollendoor/peers"
 )
@@ -17,7 +18,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, m := range v.Members {
-		if m.Beat.Epoch != k.ledger.Epoch || now.Sub(m.Heard) > peers.HeardFresh || m.Beat.Draining {
+		if !k.partner(m, now) || m.Beat.Draining {
 			continue
 		}
 		demands[m.ID] = m.Beat.Demands
@@ -25,13 +26,25 @@
 	}
 	k.ledger.Demands(now)
 	for _, m := range k.ledger.Plan(demands) {
-		if k.busy[m.To] {
-			continue
-		}
-		if t, ok := k.ledger.Give(m.Team, m.To, m.Units, now); ok {
-			k.busy[m.To] = true
-			k.wg.Go(func() { k.deliver(t, addrs[m.To]) })
-		}
+		k.give(m, addrs[m.To], now)
+	}
+}
+
+// partner reports whether units may be moved between this VM and another one
+// now: it answers, and is of the same epoch. The caller holds mu.
+func (k *Keeper) partner(m peers.Member, now time.Time) bool {
+	return m.Beat.Epoch == k.ledger.Epoch && now.Sub(m.Heard) <= peers.HeardFresh
+}
+
+// give makes a move, unless another transfer to the same VM is under way. The
+// caller holds mu.
+func (k *Keeper) give(m limit.Move, peer string, now time.Time) {
+	if k.busy[m.To] {
+		return
+	}
+	if t, ok := k.ledger.Give(m.Team, m.To, m.Units, now); ok {
+		k.busy[m.To] = true
+		k.wg.Go(func() { k.deliver(t, peer) })
 	}
 }
 
@@ -52,12 +65,7 @@
 		if old {
 			return
 		}
-		pause := time.NewTimer(tick)
-		select {
-		case <-pause.C:
-		case <-k.ctx.Done():
-		}
-		pause.Stop()
+		pollendoor.Pause(k.ctx, tick)
 	}
 }
 
@@ -79,8 +87,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var to peers.Member
+	now := time.Now()
 	for _, m := range v.Members {
-		if m.Beat.Epoch == k.ledger.Epoch && time.Since(m.Heard) <= peers.HeardFresh && !m.Beat.Draining && !m.Leaving {
+		if k.partner(m, now) && !m.Beat.Draining && !m.Leaving {
 			to = m
 		}
 	}
@@ -93,13 +102,7 @@
 			continue
 		}
 		left = true
-		if k.busy[to.ID] {
-			continue
-		}
-		if t, ok := k.ledger.Give(team, to.ID, units, time.Now()); ok {
-			k.busy[to.ID] = true
-			k.wg.Go(func() { k.deliver(t, to.Peer) })
-		}
+		k.give(limit.Move{Team: team, To: to.ID, Units: units}, to.Peer, now)
 	}
 	return !left
 }
--- a/exchange.go
+++ b/exchange.go
@@ -52,7 +52,6 @@
 	Target   string
 	Replica  bool // answered by a replica
 	Failed   bool // the target answered with an error
-	Attempts int
 }
 
 // Sink takes backend messages for the caller, whole frames at a time. An error
--- a/home/host.go
+++ b/home/host.go
@@ -109,7 +109,7 @@
 		}
 		if err != nil {
 			revision = 0
-			pause(h.ctx, storeRetry/2+rand.N(storeRetry))
+			pollendoor.Pause(h.ctx, storeRetry/2+rand.N(storeRetry))
 			continue
 		}
 		for _, o := range list {
@@ -118,15 +118,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // ApplyObject takes a group record as read from the store or heard from a peer.
 func (h *Host) ApplyObject(o pollendoor.Object) {
 	var rec pollendoor.GroupRecord
--- a/home/link.go
+++ b/home/link.go
@@ -54,23 +54,30 @@
 // run runs an exchange on the pinned connection. It is given up when the target
 // is lost from sight.
 func (p *pin) run(ctx context.Context, x *pollendoor.Exchange, r *pool.Reply) error {
-	stop := context.AfterFunc(p.life, func() { p.conn.Net.SetDeadline(time.Unix(1, 0)) })
-	err := p.conn.Run(ctx, x, r)
-	if !stop() && err == nil {
-		p.conn.Retire()
-	}
-	return err
+	return p.whileSeen(func() error { return p.conn.Run(ctx, x, r) })
 }
 
 // query runs a query of the system's own on the pinned connection, with the
 // same end.
 func (p *pin) query(ctx context.Context, sql string) ([][]string, error) {
+	var rows [][]string
+	err := p.whileSeen(func() error {
+		var err error
+		rows, err = p.conn.Query(ctx, sql)
+		return err
+	})
+	return rows, err
+}
+
+// whileSeen runs f, whose reads and writes fail once the target is lost from
+// sight.
+func (p *pin) whileSeen(f func() error) error {
 	stop := context.AfterFunc(p.life, func() { p.conn.Net.SetDeadline(time.Unix(1, 0)) })
-	rows, err := p.conn.Query(ctx, sql)
+	err := f()
 	if !stop() && err == nil {
 		p.conn.Retire()
 	}
-	return rows, err
+	return err
 }
 
 // Link runs one session's exchanges at a group of this VM.
@@ -136,7 +143,6 @@
 	var how choice
 	for n := 1; ; n++ {
 		e := l.attempt(ctx, x, r, how)
-		e.answer.Attempts = n
 		if e.refusal != nil {
 			e.answer.Refusal = e.refusal
 			return e.answer
@@ -162,7 +168,7 @@
 			}
 			r.Reset()
 			if n > 1 || !e.answer.Replica {
-				pause(ctx, retry.Backoff(n))
+				pollendoor.Pause(ctx, retry.Backoff(n))
 			}
 			continue
 		}
--- a/home/member.go
+++ b/home/member.go
@@ -91,7 +91,7 @@
 				last = time.Now()
 			}
 			m.group.bump()
-			pause(ctx, statusBackoff)
+			pollendoor.Pause(ctx, statusBackoff)
 			continue
 		}
 		last = asked
@@ -151,7 +151,7 @@
 // rest waits until the next status request is due.
 func (m *member) rest(ctx context.Context) {
 	if m.group.waiters.Load() > 0 {
-		pause(ctx, statusSpacing)
+		pollendoor.Pause(ctx, statusSpacing)
 		return
 	}
 	t := time.NewTimer(statusEvery)
--- a/home/once.go
+++ b/home/once.go
@@ -203,7 +203,7 @@
 				return a
 			}
 		}
-		pause(ctx, retry.Backoff(n))
+		pollendoor.Pause(ctx, retry.Backoff(n))
 	}
 	return pollendoor.Answer{TxStatus: 'I', Refusal: pollendoor.Unsure("the outcome of the transaction is not known", lost.Error())}
 }
--- a/home/promote.go
+++ b/home/promote.go
@@ -36,7 +36,7 @@
 	doubted := false
 	for ctx.Err() == nil {
 		last := time.Now()
-		pause(ctx, driveEvery)
+		pollendoor.Pause(ctx, driveEvery)
 		if group.WasPaused(last, time.Now()) {
 			g.explain("paused", fmt.Sprintf("this VM did nothing for %d ms; what it has not seen meanwhile says nothing", time.Since(last).Milliseconds()))
 			g.since.Store(time.Now().UnixNano())
@@ -179,7 +179,7 @@
 			p.tell(ev)
 			return
 		}
-		pause(p.ctx, stepRetry)
+		pollendoor.Pause(p.ctx, stepRetry)
 	}
 }
 
@@ -195,7 +195,7 @@
 	case errors.Is(err, pollendoor.ErrConflict):
 		p.tell(group.WriteRefused{})
 	default:
-		pause(p.ctx, stepRetry)
+		pollendoor.Pause(p.ctx, stepRetry)
 		p.tell(group.WriteLost{})
 	}
 }
@@ -211,7 +211,7 @@
 			p.tell(group.Read{Record: rec, Version: o.Version})
 			return
 		}
-		pause(p.ctx, stepRetry)
+		pollendoor.Pause(p.ctx, stepRetry)
 	}
 }
 
--- a/node/admin.go
+++ b/node/admin.go
@@ -294,7 +294,7 @@
 			}
 		}
 		last = err
-		sleep(ctx, keyPause)
+		pollendoor.Pause(ctx, keyPause)
 	}
 	return errors.Wrap(last, "the platform does not answer, the outcome is open")
 }
--- a/node/node.go
+++ b/node/node.go
@@ -181,21 +181,12 @@
 		}
 		select {
 		case <-changed:
-			sleep(n.ctx, refreshLeast)
+			pollendoor.Pause(n.ctx, refreshLeast)
 		case <-n.ctx.Done():
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // fill completes a heartbeat.
 func (n *Node) fill(b *peers.Beat) {
 	b.Fingerprint, b.Versions = n.guard.Fingerprints()
@@ -262,7 +253,7 @@
 // summarize keeps this VM's burn summary on the platform.
 func (n *Node) summarize() {
 	for n.ctx.Err() == nil {
-		sleep(n.ctx, summaryEvery/2+rand.N(summaryEvery))
+		pollendoor.Pause(n.ctx, summaryEvery/2+rand.N(summaryEvery))
 		n.writeSummary(n.ctx)
 	}
 }
--- /dev/null
+++ b/pause.go
@@ -0,0 +1,16 @@
+package pollendoor
+
+import (
+	"context"
+	"time"
+)
+
+// Pause waits for d, or until ctx ends.
+func Pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/peers/fleet.go
+++ b/peers/fleet.go
@@ -154,14 +154,7 @@
 	f.view.Store(v)
 }
 
-func (f *Fleet) pause(d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-f.ctx.Done():
-	case <-t.C:
-	}
-}
+func (f *Fleet) pause(d time.Duration) { pollendoor.Pause(f.ctx, d) }
 
 // beatLoop sends heartbeats to this VM's neighbors, and at once to all that a
 // doubt concerns.
--- a/peers/forward.go
+++ b/peers/forward.go
@@ -172,7 +172,7 @@
 			l.forwarder.Fleet.pause(retry.Backoff(n))
 			continue
 		}
-		return pollendoor.Answer{Attempts: n, Refusal: &pollendoor.Refusal{
+		return pollendoor.Answer{Refusal: &pollendoor.Refusal{
 			Code: pollendoor.CodeUnknown, Fate: verdict.Fate(),
 			Message: "the home of " + l.group + " was lost", Cause: err.Error(),
 		}}
