--- /dev/null
+++ b/caller/choose.go
@@ -0,0 +1,70 @@
+package caller
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/pollendoor/pollendoor"
+)
+
+const (
+	// regionCost is the wait that a read takes into account rather than going to
+	// another region: the round trip, and the price of the bytes.
+	regionCost = 250 * time.Millisecond
+	// zoneCost is the same for another zone of the region.
+	zoneCost = 20 * time.Millisecond
+	// primaryCost keeps reads off the primary, which has writes to serve.
+	primaryCost = 15 * time.Millisecond
+	// behindCost keeps reads off a replica that lagged a moment ago.
+	behindCost = 2 * time.Second
+)
+
+// place is a target for a read, with the position that its log must hold.
+type place struct {
+	target  pollendoor.TargetInfo
+	after   pollendoor.Position
+	replica bool
+}
+
+// rank orders the targets for a read that any of them may serve, the best first.
+func rank(list []pollendoor.ReadTarget, lead string, after pollendoor.Position) []place {
+	cost := func(r pollendoor.ReadTarget) time.Duration {
+		d := r.Delay
+		switch r.Distance {
+		case pollendoor.OtherRegion:
+			d += regionCost
+		case pollendoor.SameRegion:
+			d += zoneCost
+		}
+		if r.Target.ID == lead {
+			d += primaryCost
+		}
+		if r.Behind {
+			d += behindCost
+		}
+		return d
+	}
+	slices.SortStableFunc(list, func(a, b pollendoor.ReadTarget) int { return cmp.Compare(cost(a), cost(b)) })
+	out := make([]place, 0, len(list))
+	for _, r := range list {
+		out = append(out, place{target: r.Target, after: after, replica: r.Target.ID != lead})
+	}
+	return out
+}
+
+// floor returns the position that a read must find: that of the sample, or the
+// session's own last commit if that comes later. A commit of an older term than
+// the sample's is in the sample's log or was rolled back. It reports false if
+// the sample is of an older term than the commit.
+func floor(sample, own pollendoor.Position) (pollendoor.Position, bool) {
+	switch {
+	case own.IsZero() || own.Term < sample.Term:
+		return sample, true
+	case own.Term > sample.Term:
+		return pollendoor.Position{}, false
+	case own.Index > sample.Index:
+		return own, true
+	}
+	return sample, true
+}
--- /dev/null
+++ b/fleet/beat.go
@@ -0,0 +1,415 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/clock"
+	"github.com/pollendoor/pollendoor/reign"
+	"github.com/pollendoor/pollendoor/sample"
+	"github.com/pollendoor/pollendoor/share"
+)
+
+const (
+	// beatPeriod is the time between heartbeats of a VM: several fit into a
+	// lease, and their samples stay young against the staleness of reads.
+	beatPeriod = 400 * time.Millisecond
+	// selfLeaseAfter is how long the holder is silent before a VM asks the store
+	// itself whether its record still stands.
+	selfLeaseAfter = 900 * time.Millisecond
+	// heardLately is how old a VM's contact with the holder may be to speak
+	// against a takeover.
+	heardLately = 900 * time.Millisecond
+	// tellAge is how old the answers of other VMs on the holder may be.
+	tellAge = time.Second
+	// configPatience is how long the watch may take to bring a configuration that
+	// another VM has.
+	configPatience = 500 * time.Millisecond
+	// maxPacket is the size of the receive buffer, in bytes.
+	maxPacket = 64 << 10
+)
+
+// packetKind tells the datagrams between VMs apart.
+type packetKind uint8
+
+const (
+	packetBeat   packetKind = iota + 1 // a VM to the duty holder
+	packetAnswer                       // its answer
+	packetPoke                         // the holder asks for a heartbeat now
+	packetAsk                          // a VM asks another whether it hears the holder
+	packetTell                         // its answer
+)
+
+// position is a sample in a datagram. Since is counted from the echoed stamp's
+// arrival in a heartbeat, and from the heartbeat's arrival in an answer: both
+// take the sample for older than it is.
+type position struct {
+	Since time.Duration   `cbor:"1,keyasint"`
+	Term  pollendoor.Term `cbor:"2,keyasint"`
+	Index uint64          `cbor:"3,keyasint"`
+}
+
+// packet is a datagram between VMs.
+type packet struct {
+	Kind  packetKind    `cbor:"1,keyasint"`
+	From  peer          `cbor:"2,keyasint"`
+	Token uint64        `cbor:"3,keyasint,omitempty"`
+	Stamp time.Duration `cbor:"4,keyasint,omitempty"` // sender's clock
+	Echo  time.Duration `cbor:"5,keyasint,omitempty"` // Stamp of the packet answered, or last received
+
+	// Of a heartbeat.
+	Version  uint64                  `cbor:"6,keyasint,omitempty"` // of the record adopted
+	Promise  time.Duration           `cbor:"7,keyasint,omitempty"` // no claim for so long after Echo
+	Reports  map[string]reign.Report `cbor:"8,keyasint,omitempty"`
+	Held     map[string]share.Held   `cbor:"9,keyasint,omitempty"`
+	ShareSeq uint64                  `cbor:"10,keyasint,omitempty"`
+	ViewSeen uint64                  `cbor:"11,keyasint,omitempty"`
+
+	// Of an answer.
+	Lease  time.Duration      `cbor:"12,keyasint,omitempty"`
+	Record *storedRecord      `cbor:"13,keyasint,omitempty"` // if Version is not the newest
+	View   *view              `cbor:"14,keyasint,omitempty"` // if ViewSeen is not the newest
+	Shares map[string]float64 `cbor:"15,keyasint,omitempty"`
+	Want   bool               `cbor:"19,keyasint,omitempty"` // the holder needs promises: it does not reach the store
+
+	Config    uint64              `cbor:"16,keyasint,omitempty"` // version in force at the sender
+	Positions map[string]position `cbor:"17,keyasint,omitempty"` // of primaries, by group
+	Age       time.Duration       `cbor:"18,keyasint,omitempty"` // of a tell: since the holder answered
+}
+
+// beat exchanges datagrams with other VMs.
+type beat struct {
+	vm     *VM
+	conn   *net.UDPConn
+	listed atomic.Bool // the record has been looked up in the store
+	woken  chan struct{}
+
+	mu        sync.Mutex
+	answered  time.Duration // arrival of the holder's last answer
+	started   time.Duration
+	stamp     time.Duration // of that answer
+	noClaim   time.Duration // until then this VM has promised not to claim
+	told      map[string]tell
+	sentIndex map[string]sample.Sample // newest sample reported, by group
+	adopted   time.Duration            // send time of the last heartbeat whose shares were adopted
+	wanted    bool                     // the holder asks for promises
+	renewing  bool
+	fetching  bool
+}
+
+// tell is another VM's word on the holder.
+type tell struct {
+	at    time.Duration
+	token uint64
+	age   time.Duration
+}
+
+func (b *beat) listen() error {
+	b.woken = make(chan struct{}, 1)
+	b.started = clock.Now()
+	a, err := netip.ParseAddrPort(b.vm.addr(b.vm.Settings.IP))
+	if err != nil {
+		return errors.Wrap(err, "heartbeat address")
+	}
+	b.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
+	return errors.Wrap(err, "heartbeat socket")
+}
+
+func (b *beat) close() { b.conn.Close() }
+
+// wake makes a heartbeat go out now.
+func (b *beat) wake() {
+	select {
+	case b.woken <- struct{}{}:
+	default:
+	}
+}
+
+func (b *beat) write(ip string, p *packet) {
+	p.From = b.vm.self()
+	raw, err := cbor.Marshal(p)
+	if err != nil {
+		b.vm.Log.Error().Err(err).Msg("packet not encoded")
+		return
+	}
+	a, err := netip.ParseAddrPort(b.vm.addr(ip))
+	if err != nil {
+		b.vm.Log.Warn().Err(err).Str("ip", ip).Msg("address of another VM not understood")
+		return
+	}
+	if _, err := b.conn.WriteToUDPAddrPort(raw, a); err != nil && !errors.Is(err, net.ErrClosed) {
+		b.vm.Log.Debug().Err(err).Str("ip", ip).Msg("packet not sent")
+	}
+}
+
+// send sends heartbeats until ctx ends.
+func (b *beat) send(ctx context.Context) {
+	for ctx.Err() == nil {
+		t := time.NewTimer(beatPeriod - beatPeriod/8 + rand.N(beatPeriod/4))
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		case <-b.woken:
+		}
+		t.Stop()
+		b.once(ctx)
+	}
+}
+
+// once sends one heartbeat, or acts on the silence of the holder.
+func (b *beat) once(ctx context.Context) {
+	v := b.vm
+	r := v.lease.Load().Record
+	now := clock.Now()
+	if v.duty.holds() {
+		v.duty.serveSelf(now)
+		return
+	}
+	b.mu.Lock()
+	silent := now - max(b.answered, b.started)
+	b.mu.Unlock()
+	if r.Holder != "" && r.Holder != v.Settings.VM {
+		b.write(r.Addr, b.heartbeat(&r, now))
+	}
+	if silent < selfLeaseAfter && r.Holder != "" && r.Holder != v.Settings.VM || !b.listed.Load() {
+		return
+	}
+	b.ask(&r, now)
+	if r.Member(v.Settings.VM) && r.Holder != v.Settings.VM {
+		b.renew(ctx)
+	}
+	if reign.MayClaim(b.sight(&r, silent, now), now) {
+		v.duty.claim(ctx)
+	}
+}
+
+// heartbeat puts a heartbeat together.
+func (b *beat) heartbeat(r *reign.Record, now time.Duration) *packet {
+	v := b.vm
+	held, seq := v.buckets.Report(now)
+	p := &packet{
+		Kind: packetBeat, Token: r.Token, Stamp: now, Version: r.Version,
+		Reports: make(map[string]reign.Report), Positions: make(map[string]position),
+		Held: held, ViewSeen: v.view.Load().Version,
+	}
+	if v.shareToken() == r.Token {
+		p.ShareSeq = seq
+	}
+	if c := v.config.Load(); c != nil {
+		p.Config = c.Version
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p.Echo = b.stamp
+	if b.wanted && now-b.answered < selfLeaseAfter {
+		p.Promise = reign.PromiseTime
+		b.noClaim = max(b.noClaim, now+reign.PromiseTime)
+	}
+	for name, g := range r.Groups {
+		rep, s, ok := v.fate(name).report(g.Epoch, now)
+		if !ok {
+			continue
+		}
+		p.Reports[name] = rep
+		if b.stamp > 0 && s.Since > b.sentIndex[name].Since {
+			p.Positions[name] = position{Since: s.Since - b.answered, Term: s.Position.Term, Index: s.Position.Index}
+			if b.sentIndex == nil {
+				b.sentIndex = make(map[string]sample.Sample)
+			}
+			b.sentIndex[name] = s
+		}
+	}
+	return p
+}
+
+// ask asks the other VMs whether they hear the holder.
+func (b *beat) ask(r *reign.Record, now time.Duration) {
+	for _, p := range b.vm.view.Load().Peers {
+		if p.Name != b.vm.Settings.VM && p.Name != r.Holder {
+			b.write(p.IP, &packet{Kind: packetAsk, Token: r.Token, Stamp: now})
+		}
+	}
+}
+
+// sight is what the decision on a takeover needs.
+func (b *beat) sight(r *reign.Record, silent, now time.Duration) reign.Sight {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := reign.Sight{Self: b.vm.Settings.VM, Record: *r, Silent: silent, NoClaim: b.noClaim}
+	for _, p := range b.vm.view.Load().Peers {
+		if p.Name == b.vm.Settings.VM || p.Name == r.Holder {
+			continue
+		}
+		s.Others++
+		t, ok := b.told[p.Name]
+		if !ok || now-t.at > tellAge {
+			continue
+		}
+		s.Answered++
+		if t.token >= r.Token && t.age < heardLately {
+			s.HeardByAt++
+		}
+	}
+	return s
+}
+
+// renew asks the store whether the record still stands, which is as good as a
+// lease from the holder.
+func (b *beat) renew(ctx context.Context) {
+	b.mu.Lock()
+	busy := b.renewing
+	b.renewing = true
+	b.mu.Unlock()
+	if busy {
+		return
+	}
+	go func() {
+		defer func() {
+			b.mu.Lock()
+			b.renewing = false
+			b.mu.Unlock()
+		}()
+		v := b.vm
+		sent := clock.Now()
+		o, err := v.Platform.Store.Get(ctx, recordName)
+		if err != nil {
+			v.stats.StoreErrors.Add(1)
+			v.Log.Debug().Err(err).Msg("lease not renewed at the store")
+			return
+		}
+		r, err := decodeRecord(o)
+		if err != nil {
+			v.Log.Error().Err(err).Msg("record ignored")
+			return
+		}
+		v.learn(r, "own read")
+		if r.Member(v.Settings.VM) {
+			v.changeLease(func(l *reign.Lease) bool { return l.Adopt(r.Record, sent, reign.LeaseTime-reign.ClockSlack) })
+		}
+	}()
+}
+
+// receive handles datagrams until the socket is closed.
+func (b *beat) receive() {
+	buf := make([]byte, maxPacket)
+	for {
+		n, _, err := b.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // an unreachable peer's error is reported on the socket
+		}
+		var p packet
+		if err := cbor.Unmarshal(buf[:n], &p); err != nil {
+			b.vm.Log.Warn().Err(err).Int("bytes", n).Msg("packet ignored")
+			continue
+		}
+		b.handle(&p, clock.Now())
+	}
+}
+
+func (b *beat) handle(p *packet, now time.Duration) {
+	switch p.Kind {
+	case packetBeat:
+		if a := b.vm.duty.beat(p, now); a != nil {
+			b.write(p.From.IP, a)
+		}
+	case packetAnswer:
+		b.answer(p, now)
+	case packetPoke:
+		b.wake()
+	case packetAsk:
+		b.mu.Lock()
+		age := now - b.answered
+		b.mu.Unlock()
+		if b.vm.duty.holds() {
+			age = 0
+		}
+		b.write(p.From.IP, &packet{Kind: packetTell, Token: b.vm.lease.Load().Record.Token, Echo: p.Stamp, Age: age})
+	case packetTell:
+		b.mu.Lock()
+		if b.told == nil {
+			b.told = make(map[string]tell)
+		}
+		b.told[p.From.Name] = tell{at: now, token: p.Token, age: p.Age}
+		b.mu.Unlock()
+	}
+}
+
+// answer takes the holder's answer to the heartbeat that was sent at p.Echo.
+func (b *beat) answer(p *packet, now time.Duration) {
+	v := b.vm
+	r := v.lease.Load().Record
+	if p.Token < r.Token || p.Echo > now {
+		return
+	}
+	if p.Record != nil {
+		r = p.Record.Record
+		v.learn(*p.Record, "holder")
+	}
+	if r.Token != p.Token || r.Version != p.Version {
+		return // it answers for a record that this VM does not have
+	}
+	if p.Lease > 0 {
+		v.changeLease(func(l *reign.Lease) bool { return l.Adopt(r, p.Echo, p.Lease) })
+	}
+	b.mu.Lock()
+	b.answered, b.stamp, b.wanted = now, p.Stamp, p.Want
+	fresh := p.Echo > b.adopted
+	if fresh {
+		b.adopted = p.Echo
+	}
+	b.mu.Unlock()
+	if p.View != nil {
+		v.takeView(p.View)
+	}
+	if c := v.Config(); c != nil && fresh && p.Shares != nil {
+		v.setShareToken(p.Token)
+		v.buckets.Adopt(p.Shares, p.ShareSeq, c.Teams, p.Echo, now)
+	}
+	for name, s := range p.Positions {
+		v.ring(name).Add(sample.Sample{Since: p.Echo + s.Since, Position: pollendoor.Position{Term: s.Term, Index: s.Index}})
+	}
+	if c := v.config.Load(); p.Config > 0 && (c == nil || c.Version < p.Config) {
+		b.fetchConfig(p.From, p.Config)
+	}
+}
+
+// fetchConfig takes the configuration over from another VM that has a newer one.
+func (b *beat) fetchConfig(from peer, version uint64) {
+	b.mu.Lock()
+	busy := b.fetching
+	b.fetching = true
+	b.mu.Unlock()
+	if busy {
+		return
+	}
+	go func() {
+		defer func() {
+			b.mu.Lock()
+			b.fetching = false
+			b.mu.Unlock()
+		}()
+		// The watch brings it as well, most of the time.
+		time.Sleep(configPatience)
+		if c := b.vm.config.Load(); c != nil && c.Version >= version {
+			return
+		}
+		raw, err := b.vm.lanes.fetchConfig(from)
+		if err != nil || raw == nil {
+			b.vm.Log.Warn().Err(err).Str("peer", from.Name).Msg("configuration not fetched from another VM")
+			return
+		}
+		b.vm.takeConfig(raw, from.Name)
+	}()
+}
--- /dev/null
+++ b/fleet/cluster.go
@@ -0,0 +1,105 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/clock"
+)
+
+var _ pollendoor.Cluster = (*VM)(nil)
+
+// behindTime is how long a target that lacked a position counts as behind.
+const behindTime = 400 * time.Millisecond
+
+// Config returns the configuration in force.
+func (v *VM) Config() *pollendoor.Config {
+	c := v.config.Load()
+	if c == nil {
+		return nil
+	}
+	return c.Config
+}
+
+// Admit takes one operation out of a team's rate. A team without a limit, which
+// only open routes have, is let in.
+func (v *VM) Admit(team string) bool {
+	l, ok := v.Config().Teams[team]
+	if !ok {
+		return true
+	}
+	if v.buckets.Admit(team, l, clock.Now()) {
+		return true
+	}
+	v.stats.OverRate.Add(1)
+	return false
+}
+
+// Lead returns a group's primary.
+func (v *VM) Lead(group string) (pollendoor.Lead, pollendoor.LeadState) {
+	l := v.lease.Load()
+	g, ok := l.Record.Groups[group]
+	if !ok {
+		return pollendoor.Lead{}, pollendoor.LeadNone
+	}
+	t, known := v.targets.get(g.Primary)
+	lead := pollendoor.Lead{Target: t, Epoch: g.Epoch}
+	switch {
+	case g.Moving:
+		return lead, pollendoor.LeadMoving
+	case !known || !l.Holds(group, g.Epoch, clock.Now()):
+		return lead, pollendoor.LeadNone
+	}
+	return lead, pollendoor.LeadServing
+}
+
+// Leads reports whether this VM's lease covers the group's epoch.
+func (v *VM) Leads(group string, epoch uint64) bool {
+	return v.lease.Load().Holds(group, epoch, clock.Now())
+}
+
+// PositionSince returns a position that the primary's log had reached at or
+// after a time, and the age of that knowledge.
+func (v *VM) PositionSince(group string, since time.Duration) (pollendoor.Position, time.Duration, bool) {
+	s, ok := v.ring(group).Oldest(since)
+	return s.Position, clock.Now() - s.Since, ok
+}
+
+// Replicas returns the targets of a group that take new work.
+func (v *VM) Replicas(group string) []pollendoor.ReadTarget {
+	now := clock.Now()
+	list := v.targets.group(group)
+	out := make([]pollendoor.ReadTarget, 0, len(list))
+	for _, t := range list {
+		if t.Draining {
+			continue
+		}
+		r := pollendoor.ReadTarget{Target: t, Distance: v.distance(t.Zone), Delay: v.homes.delay(t.ID, now)}
+		if until, ok := v.lags.Load(t.ID); ok {
+			r.Behind = now < until.(time.Duration)
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+func (v *VM) distance(zone string) pollendoor.Distance {
+	switch {
+	case zone == v.Settings.Zone:
+		return pollendoor.SameZone
+	case v.Settings.Zones[zone] == v.Settings.Region:
+		return pollendoor.SameRegion
+	}
+	return pollendoor.OtherRegion
+}
+
+// Lagged notes that a target lacked a position.
+func (v *VM) Lagged(target string) {
+	v.stats.Lagging.Add(1)
+	v.lags.Store(target, clock.Now()+behindTime)
+}
+
+// Open returns a turn at a target.
+func (v *VM) Open(t pollendoor.TargetInfo, team string) pollendoor.Turn {
+	return &turn{vm: v, target: t, team: team}
+}
--- /dev/null
+++ b/fleet/duty.go
@@ -0,0 +1,485 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/clock"
+	"github.com/pollendoor/pollendoor/reign"
+	"github.com/pollendoor/pollendoor/sample"
+	"github.com/pollendoor/pollendoor/share"
+)
+
+const (
+	// dutyPeriod is how often the duty holder looks at its groups.
+	dutyPeriod = 100 * time.Millisecond
+	// confirmPeriod is how often it proves to itself that it still is the holder:
+	// twice within a lease, and once more for a call that fails.
+	confirmPeriod = 900 * time.Millisecond
+	// wantAfter is how long without such a proof it asks for promises.
+	wantAfter = 1300 * time.Millisecond
+	// memberPeriod is the least time between two changes of the members, so that
+	// VMs that start together come in together.
+	memberPeriod = 150 * time.Millisecond
+	// maxMoves bounds the promotions at a time.
+	maxMoves = 8
+)
+
+// errLost says that another VM holds the duty.
+var errLost = errors.New("the duty was lost")
+
+// duty is the work of the VM that holds the duty.
+type duty struct {
+	vm *VM
+
+	mu      sync.Mutex
+	held    bool
+	state   reign.Duty
+	object  uint64 // version of the record's object in the store
+	peers   map[string]peerState
+	view    view
+	pool    share.Pool
+	members time.Duration // when the members were last changed
+	moves   map[string]bool
+
+	writing sync.Mutex // one write of the record at a time
+}
+
+// peerState is a VM as the holder hears it.
+type peerState struct {
+	peer
+	config uint64
+}
+
+func (d *duty) holds() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.held
+}
+
+// claim takes the duty over.
+func (d *duty) claim(ctx context.Context) {
+	if !d.writing.TryLock() {
+		return
+	}
+	defer d.writing.Unlock()
+	v := d.vm
+	object, r, err := d.read(ctx)
+	if err != nil {
+		v.Log.Warn().Err(err).Msg("duty not claimed: record not read")
+		return
+	}
+	v.learn(r, "claim")
+	if known := v.lease.Load().Record; known.Token != r.Token {
+		return // somebody else was faster
+	}
+	next := storedRecord{Record: r.Record.Claim(v.Settings.VM, v.Settings.IP), Run: v.run}
+	start := clock.Now()
+	object, err = d.put(ctx, object, next)
+	if err != nil {
+		v.Log.Warn().Err(err).Uint64("token", next.Token).Msg("duty not claimed")
+		return
+	}
+	now := clock.Now()
+	d.mu.Lock()
+	d.held, d.object = true, object
+	d.state = reign.Duty{Self: v.Settings.VM, Record: r.Record, Claimed: now}
+	d.state.Written(next.Record, start, now)
+	d.peers = map[string]peerState{v.Settings.VM: {peer: v.self()}}
+	d.view = view{Version: next.Token<<32 | 1, Peers: v.view.Load().Peers}
+	d.pool = share.Pool{}
+	d.moves = make(map[string]bool)
+	d.mu.Unlock()
+	v.Log.Info().Uint64("token", next.Token).Str("before", r.Holder).Strs("members", next.Members).Msg("duty claimed")
+	v.learn(next, "claim")
+	v.beat.wake()
+}
+
+// read returns the record and its object's version; no record is the empty one.
+func (d *duty) read(ctx context.Context) (uint64, storedRecord, error) {
+	o, err := d.vm.Platform.Store.Get(ctx, recordName)
+	if errors.Is(err, pollendoor.ErrNotFound) {
+		return 0, storedRecord{}, nil
+	}
+	if err != nil {
+		return 0, storedRecord{}, err
+	}
+	r, err := decodeRecord(o)
+	return o.Version, r, err
+}
+
+func (d *duty) put(ctx context.Context, version uint64, r storedRecord) (uint64, error) {
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return 0, errors.Wrap(err, "encode record")
+	}
+	return d.vm.Platform.Store.Put(ctx, recordName, version, raw)
+}
+
+// write changes the record in the store. After a lost answer it reads back what
+// became of the write. It returns errLost if this process is not the holder.
+func (d *duty) write(ctx context.Context, change func(reign.Record) reign.Record) error {
+	d.writing.Lock()
+	defer d.writing.Unlock()
+	for try := 0; ; try++ {
+		d.mu.Lock()
+		held, object, old := d.held, d.object, d.state.Record
+		d.mu.Unlock()
+		if !held {
+			return errLost
+		}
+		next := storedRecord{Record: change(old), Run: d.vm.run}
+		start := clock.Now()
+		version, err := d.put(ctx, object, next)
+		if err == nil {
+			d.written(version, next, start)
+			return nil
+		}
+		d.vm.Log.Warn().Err(err).Uint64("version", next.Version).Msg("record not written")
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if !errors.Is(err, pollendoor.ErrConflict) {
+			pollendoor.Pause(ctx, retryPause/2)
+		}
+		if err := d.confirm(ctx); errors.Is(err, errLost) {
+			return err
+		}
+		d.mu.Lock()
+		done := d.state.Record.Version == next.Version && d.object != object
+		d.mu.Unlock()
+		if done {
+			return nil
+		}
+	}
+}
+
+func (d *duty) written(object uint64, r storedRecord, start time.Duration) {
+	d.mu.Lock()
+	d.object = object
+	// The VM's own lease first: nobody may believe that it has dropped a primary
+	// that it still uses.
+	d.vm.learn(r, "own write")
+	d.state.Written(r.Record, start, clock.Now())
+	d.mu.Unlock()
+	d.poke()
+}
+
+// confirm proves that this process holds the duty by reading the record.
+func (d *duty) confirm(ctx context.Context) error {
+	start := clock.Now()
+	object, r, err := d.read(ctx)
+	if err != nil {
+		d.vm.stats.StoreErrors.Add(1)
+		return err
+	}
+	d.mu.Lock()
+	if r.Run != d.vm.run || r.Token != d.state.Record.Token {
+		was := d.held
+		d.held = false
+		d.mu.Unlock()
+		if was {
+			d.vm.Log.Info().Uint64("token", r.Token).Str("holder", r.Holder).Msg("duty lost")
+		}
+		d.vm.learn(r, "confirm")
+		return errLost
+	}
+	if r.Version > d.state.Record.Version {
+		// A write whose answer was lost.
+		d.vm.learn(r, "confirm")
+		d.state.Written(r.Record, start, clock.Now())
+	}
+	d.object = object
+	d.state.Confirmed = max(d.state.Confirmed, start)
+	d.mu.Unlock()
+	return nil
+}
+
+// poke asks all VMs for a heartbeat now.
+func (d *duty) poke() {
+	d.mu.Lock()
+	list := make([]peerState, 0, len(d.peers))
+	for _, p := range d.peers {
+		list = append(list, p)
+	}
+	d.mu.Unlock()
+	for _, p := range list {
+		if p.Name != d.vm.Settings.VM {
+			d.vm.beat.write(p.IP, &packet{Kind: packetPoke})
+		}
+	}
+}
+
+// serveSelf gives this VM what others get by heartbeats.
+func (d *duty) serveSelf(now time.Duration) {
+	v := d.vm
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	reports := make(map[string]reign.Report)
+	for name, g := range d.state.Record.Groups {
+		if r, _, ok := v.fate(name).report(g.Epoch, now); ok {
+			reports[name] = r
+		}
+	}
+	d.state.Heard(v.Settings.VM, d.state.Record.Version, 0, 0, reports, now)
+	if l := d.state.Lease(v.Settings.VM, now); l > 0 {
+		v.changeLease(func(own *reign.Lease) bool { return own.Adopt(d.state.Record, now, l) })
+	}
+	held, seq := v.buckets.Report(now)
+	if v.shareToken() != d.state.Record.Token {
+		seq = 0
+	}
+	live := len(d.state.Live(now))
+	shares, seq := d.pool.Renew(v.Settings.VM, seq, held, live, d.closed(now), now)
+	if c := v.Config(); c != nil {
+		v.setShareToken(d.state.Record.Token)
+		v.buckets.Adopt(shares, seq, c.Teams, now, now)
+	}
+	d.refreshView(now)
+	v.takeView(&d.view)
+}
+
+// closed reports whether shares that an earlier holder granted may be in use
+// unknown to this one.
+func (d *duty) closed(now time.Duration) bool {
+	return !d.state.Complete() && now < d.state.Claimed+share.Life
+}
+
+// refreshView follows the VMs that are heard.
+func (d *duty) refreshView(now time.Duration) {
+	list := make([]peer, 0, len(d.peers))
+	for _, name := range d.state.Live(now) {
+		if p, ok := d.peers[name]; ok {
+			list = append(list, p.peer)
+		}
+	}
+	same := len(list) == len(d.view.Peers)
+	for i := 0; same && i < len(list); i++ {
+		same = list[i] == d.view.Peers[i]
+	}
+	// A new holder keeps the view that it has until the others had time to
+	// report.
+	if !same && (now > d.state.Claimed+2*beatPeriod || len(list) > len(d.view.Peers)) {
+		d.view = view{Version: d.view.Version + 1, Peers: list}
+	}
+}
+
+// beat takes a heartbeat and returns the answer, nil if this VM is not the
+// holder.
+func (d *duty) beat(p *packet, now time.Duration) *packet {
+	v := d.vm
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.held {
+		return nil
+	}
+	r := d.state.Record
+	version := p.Version
+	if p.Token != r.Token {
+		version = 0
+	}
+	d.state.Heard(p.From.Name, version, p.Echo, p.Promise, p.Reports, now)
+	d.peers[p.From.Name] = peerState{peer: p.From, config: p.Config}
+	d.refreshView(now)
+	a := &packet{
+		Kind: packetAnswer, Token: r.Token, Stamp: now, Echo: p.Stamp, Version: r.Version,
+		Lease: d.state.Lease(p.From.Name, now), Positions: make(map[string]position),
+		Want: now-d.state.Confirmed > wantAfter,
+	}
+	if version != r.Version {
+		a.Record = &storedRecord{Record: r, Run: v.run}
+	}
+	if p.ViewSeen != d.view.Version {
+		w := d.view
+		a.View = &w
+	}
+	if c := v.config.Load(); c != nil {
+		a.Config = c.Version
+	}
+	for name, s := range p.Positions {
+		if p.Echo > 0 {
+			v.ring(name).Add(sample.Sample{Since: p.Echo + s.Since, Position: pollendoor.Position{Term: s.Term, Index: s.Index}})
+		}
+	}
+	for name := range r.Groups {
+		if s, ok := v.ring(name).Newest(); ok {
+			a.Positions[name] = position{Since: s.Since - now, Term: s.Position.Term, Index: s.Position.Index}
+		}
+	}
+	seq := p.ShareSeq
+	if p.Token != r.Token {
+		seq = 0
+	}
+	a.Shares, a.ShareSeq = d.pool.Renew(p.From.Name, seq, p.Held, len(d.view.Peers), d.closed(now), now)
+	return a
+}
+
+// hold does the holder's work while this VM holds the duty.
+func (d *duty) hold(ctx context.Context) {
+	tick := time.NewTicker(dutyPeriod)
+	defer tick.Stop()
+	var confirming sync.Mutex
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		now := clock.Now()
+		d.mu.Lock()
+		held, due := d.held, now-d.state.Confirmed > confirmPeriod
+		d.mu.Unlock()
+		if !held {
+			continue
+		}
+		if due && confirming.TryLock() {
+			go func() {
+				defer confirming.Unlock()
+				if err := d.confirm(ctx); err != nil && !errors.Is(err, errLost) {
+					pollendoor.Pause(ctx, retryPause)
+				}
+			}()
+		}
+		d.admit(ctx, now)
+		d.look(ctx, now)
+	}
+}
+
+// admit writes the members down as they come and go.
+func (d *duty) admit(ctx context.Context, now time.Duration) {
+	d.mu.Lock()
+	list, changed := d.state.Members(now)
+	due := now-d.members > memberPeriod && !d.moves[membersMove]
+	if changed && due {
+		d.members = now
+		d.moves[membersMove] = true
+	}
+	d.mu.Unlock()
+	if !changed || !due {
+		return
+	}
+	go func() {
+		err := d.write(ctx, func(r reign.Record) reign.Record { return r.WithMembers(list) })
+		if err != nil {
+			d.vm.Log.Warn().Err(err).Strs("members", list).Msg("members not written")
+		} else {
+			d.vm.Log.Info().Strs("members", list).Msg("members changed")
+		}
+		d.done(membersMove)
+	}()
+}
+
+// membersMove marks a change of the members among the moves. No group has that
+// name.
+const membersMove = "/members"
+
+// look starts what the groups need.
+func (d *duty) look(ctx context.Context, now time.Duration) {
+	c := d.vm.Config()
+	if c == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name := range c.Groups {
+		if d.moves[name] || len(d.moves) >= maxMoves {
+			continue
+		}
+		g, known := d.state.Record.Groups[name]
+		if !known {
+			d.start(name, func() { d.found(ctx, name) })
+			continue
+		}
+		if g.Moving {
+			d.start(name, func() { d.move(ctx, name, g, "taken over from an earlier holder") })
+			continue
+		}
+		var entry *pollendoor.TargetInfo
+		if t, ok := d.vm.targets.get(g.Primary); ok {
+			entry = &t
+		}
+		if cause := d.state.Suspect(name, entry, now); cause != reign.CauseNone {
+			d.start(name, func() { d.replace(ctx, name, g, cause) })
+		}
+	}
+}
+
+// start runs the work on one group. The caller holds mu.
+func (d *duty) start(group string, work func()) {
+	d.moves[group] = true
+	go func() {
+		work()
+		d.done(group)
+	}()
+}
+
+func (d *duty) done(name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.moves, name)
+}
+
+// shareToken returns the token of the holder whose shares are in use.
+func (v *VM) shareToken() uint64 {
+	v.leaseMu.Lock()
+	defer v.leaseMu.Unlock()
+	return v.shareSeen
+}
+
+func (v *VM) setShareToken(t uint64) {
+	v.leaseMu.Lock()
+	defer v.leaseMu.Unlock()
+	v.shareSeen = t
+}
+
+// takeView follows the holder's view of the VMs.
+func (v *VM) takeView(w *view) {
+	old := v.view.Load()
+	if old.Version == w.Version {
+		return
+	}
+	n := *w
+	v.view.Store(&n)
+	v.buckets.Configure(share.Slack{
+		Window: time.Duration(v.Settings.QuotaWindowS * float64(time.Second)),
+		Excess: v.Settings.QuotaExcess, Margin: v.Settings.QuotaMargin,
+	}, max(len(n.Peers), 1))
+	v.homes.refresh()
+	names := make([]string, 0, len(n.Peers))
+	for _, p := range n.Peers {
+		names = append(names, p.Name)
+	}
+	v.Log.Info().Strs("vms", names).Uint64("version", n.Version).Msg("live VMs changed")
+}
+
+// others returns the targets of a group but for one.
+func (d *duty) others(group, except string) []pollendoor.TargetInfo {
+	var list []pollendoor.TargetInfo
+	for _, t := range d.vm.targets.group(group) {
+		if t.ID != except {
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
+// claimed returns the fencing token of this holder.
+func (d *duty) token() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state.Record.Token
+}
+
+// group returns a group's agreed state.
+func (d *duty) group(name string) (reign.Group, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	g, ok := maps.Clone(d.state.Record.Groups)[name]
+	return g, ok && d.held
+}
--- /dev/null
+++ b/fleet/lanes.go
@@ -0,0 +1,299 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/dial"
+)
+
+const (
+	// laneDial bounds the connection to another VM: some round trips between
+	// regions.
+	laneDial = 250 * time.Millisecond
+	// laneSlack is how much later than the target's answer that of its home may
+	// come.
+	laneSlack = 100 * time.Millisecond
+	// idleLanes bounds the idle lanes to one VM.
+	idleLanes = 24
+	// laneBuffer is the buffer of a lane, in bytes.
+	laneBuffer = 1024
+	// laneIdle is how long the home keeps a lane that carries nothing.
+	laneIdle = time.Minute
+	// maxFrame bounds a message between VMs, in bytes.
+	maxFrame = 4 << 20
+)
+
+// call is one request on a lane: work, the end of a turn, or a question for the
+// configuration.
+type call struct {
+	Work   *pollendoor.Work `cbor:"1,keyasint,omitempty"`
+	Config bool             `cbor:"2,keyasint,omitempty"`
+}
+
+// result is the answer to a call.
+type result struct {
+	Reply  *pollendoor.Reply `cbor:"1,keyasint,omitempty"`
+	Config []byte            `cbor:"2,keyasint,omitempty"`
+}
+
+// lanes are the TCP connections between VMs. Each carries one turn at a time.
+type lanes struct {
+	vm       *VM
+	listener net.Listener
+
+	mu     sync.Mutex
+	idle   map[string][]*lane // by VM name
+	serves map[net.Conn]struct{}
+	closed bool
+}
+
+// lane is a turn at another VM.
+type lane struct {
+	lanes *lanes
+	peer  string
+	conn  net.Conn
+	out   *bufio.Writer
+	enc   *cbor.Encoder
+	dec   *cbor.Decoder
+	open  bool // the home holds a connection for this turn
+	dead  bool
+}
+
+func newLane(c net.Conn) *lane {
+	w := bufio.NewWriterSize(c, laneBuffer)
+	return &lane{conn: c, out: w, enc: cbor.NewEncoder(w), dec: cbor.NewDecoder(bufio.NewReaderSize(c, laneBuffer))}
+}
+
+func (l *lane) send(v any) error {
+	if err := l.enc.Encode(v); err != nil {
+		return err
+	}
+	return l.out.Flush()
+}
+
+// take returns a lane to another VM.
+func (s *lanes) take(p peer) (*lane, error) {
+	for l := s.pop(p.Name); l != nil; l = s.pop(p.Name) {
+		if dial.Alive(l.conn) {
+			return l, nil
+		}
+		l.conn.Close()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), laneDial)
+	defer cancel()
+	c, err := dial.TCP(ctx, s.vm.addr(p.IP))
+	if err != nil {
+		return nil, errors.Wrap(err, "dial VM")
+	}
+	l := newLane(c)
+	l.lanes, l.peer = s, p.Name
+	return l, nil
+}
+
+func (s *lanes) pop(name string) *lane {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := s.idle[name]
+	if len(list) == 0 {
+		return nil
+	}
+	s.idle[name] = list[:len(list)-1]
+	return list[len(list)-1]
+}
+
+// drop closes the idle lanes to a VM: where one is silent, the others are too.
+func (s *lanes) drop(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.idle[name] {
+		l.conn.Close()
+	}
+	delete(s.idle, name)
+}
+
+// Do runs one statement at the home.
+func (l *lane) Do(w *pollendoor.Work) pollendoor.Reply {
+	if l.dead {
+		return pollendoor.Reply{Lost: true, Sent: true, Text: "the lane to the target's home is closed"}
+	}
+	l.conn.SetDeadline(time.Now().Add(w.Timeout + laneSlack))
+	err := l.send(call{Work: w})
+	var r result
+	if err == nil {
+		err = l.dec.Decode(&r)
+	}
+	if err == nil && r.Reply == nil {
+		err = errors.New("answer without a reply")
+	}
+	if err != nil {
+		l.dead = true
+		l.conn.Close()
+		l.lanes.drop(l.peer)
+		l.lanes.vm.homes.shun(l.peer)
+		return pollendoor.Reply{Lost: true, Sent: true, Text: "the target's home was lost: " + err.Error()}
+	}
+	l.open = r.Reply.State == 'T' && r.Reply.Code == ""
+	return *r.Reply
+}
+
+// Close ends the turn and keeps the lane for another.
+func (l *lane) Close() {
+	if l.dead {
+		return
+	}
+	if l.open {
+		l.open = false
+		l.conn.SetDeadline(time.Now().Add(laneSlack))
+		if err := l.send(call{}); err != nil {
+			l.dead = true
+			l.conn.Close() // which the home takes for the end of the turn, too
+			return
+		}
+	}
+	s := l.lanes
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.idle[l.peer]) >= idleLanes {
+		l.conn.Close()
+		return
+	}
+	if s.idle == nil {
+		s.idle = make(map[string][]*lane)
+	}
+	s.idle[l.peer] = append(s.idle[l.peer], l)
+}
+
+func (s *lanes) listen(ctx context.Context) error {
+	lc := dial.Listener()
+	n, err := lc.Listen(ctx, "tcp4", s.vm.addr(s.vm.Settings.IP))
+	s.listener = n
+	return errors.Wrap(err, "listener for VMs")
+}
+
+// serve accepts lanes of other VMs.
+func (s *lanes) serve() {
+	for {
+		c, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			s.vm.Log.Warn().Err(err).Msg("lane not accepted")
+			time.Sleep(acceptPause)
+			continue
+		}
+		s.mu.Lock()
+		if s.serves == nil {
+			s.serves = make(map[net.Conn]struct{})
+		}
+		s.serves[c] = struct{}{}
+		s.mu.Unlock()
+		go s.serveLane(c)
+	}
+}
+
+// acceptPause is the pause after a failed accept.
+const acceptPause = 20 * time.Millisecond
+
+// serveLane runs the work of another VM. The end of the connection ends its
+// turn.
+func (s *lanes) serveLane(c net.Conn) {
+	l := newLane(c)
+	var current pollendoor.Turn
+	defer func() {
+		if current != nil {
+			current.Close()
+		}
+		c.Close()
+		s.mu.Lock()
+		delete(s.serves, c)
+		s.mu.Unlock()
+	}()
+	for {
+		c.SetReadDeadline(time.Now().Add(laneIdle))
+		var in call
+		if err := l.dec.Decode(&in); err != nil {
+			return
+		}
+		var out result
+		switch {
+		case in.Work != nil:
+			r := s.work(&current, in.Work)
+			out.Reply = &r
+		case in.Config:
+			if v := s.vm.config.Load(); v != nil {
+				out.Config = v.raw
+			}
+		default:
+			if current != nil {
+				current.Close()
+				current = nil
+			}
+			continue
+		}
+		c.SetWriteDeadline(time.Now().Add(laneIdle))
+		if err := l.send(out); err != nil {
+			return
+		}
+	}
+}
+
+func (s *lanes) work(current *pollendoor.Turn, w *pollendoor.Work) pollendoor.Reply {
+	if *current == nil {
+		t, ok := s.vm.targets.get(w.Target)
+		if !ok || t.Group != w.Group {
+			return pollendoor.Reply{Code: pollendoor.ErrMisrouted, Text: "the home does not know the target", State: 'I'}
+		}
+		*current = s.vm.homes.broker(t).Open(w.Team)
+	}
+	r := (*current).Do(w)
+	if r.State != 'T' || r.Code != "" {
+		(*current).Close()
+		*current = nil
+	}
+	return r
+}
+
+// fetchConfig asks another VM for its configuration.
+func (s *lanes) fetchConfig(p peer) ([]byte, error) {
+	l, err := s.take(p)
+	if err != nil {
+		return nil, err
+	}
+	l.conn.SetDeadline(time.Now().Add(time.Second))
+	var r result
+	if err = l.send(call{Config: true}); err == nil {
+		err = l.dec.Decode(&r)
+	}
+	if err != nil {
+		l.conn.Close()
+		return nil, errors.Wrap(err, "configuration of another VM")
+	}
+	l.Close()
+	return r.Config, nil
+}
+
+// close ends all lanes.
+func (s *lanes) close() {
+	s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for _, list := range s.idle {
+		for _, l := range list {
+			l.conn.Close()
+		}
+	}
+	s.idle = nil
+	for c := range s.serves {
+		c.Close()
+	}
+}
--- /dev/null
+++ b/fleet/stats.go
@@ -0,0 +1,101 @@
+package fleet
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/clock"
+)
+
+// Stats counts what a VM does. The zero value is ready for use.
+type Stats struct {
+	Dials       atomic.Int64 // connections to targets
+	Lagging     atomic.Int64 // reads that a target lacked the position for
+	OverRate    atomic.Int64 // operations refused beyond a team's rate
+	StoreErrors atomic.Int64 // failed calls to the platform's store
+	Replica     atomic.Int64 // reads answered by replicas
+	Retries     atomic.Int64 // attempts beyond the first
+
+	mu       sync.Mutex
+	outcomes map[pollendoor.ErrorCode]int64
+	latency  *hdrhistogram.Histogram // of statements that a target answered, in microseconds
+}
+
+const (
+	// latencyMost is the longest latency that the histogram tells apart, in
+	// microseconds.
+	latencyMost = 60_000_000
+	// latencyDigits is its precision, in decimal digits. One keeps it small.
+	latencyDigits = 1
+)
+
+func (s *Stats) add(d *pollendoor.Decision) {
+	if d.Replica && d.Outcome == "" {
+		s.Replica.Add(1)
+	}
+	if d.Attempts > 1 {
+		s.Retries.Add(int64(d.Attempts - 1))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.outcomes == nil {
+		s.outcomes = make(map[pollendoor.ErrorCode]int64)
+		s.latency = hdrhistogram.New(1, latencyMost, latencyDigits)
+	}
+	s.outcomes[d.Outcome]++
+	if d.Outcome == "" {
+		// A latency beyond the histogram's range counts as its end.
+		_ = s.latency.RecordValue(min(d.Took.Microseconds(), latencyMost))
+	}
+}
+
+// WriteMetrics writes counters and histograms as text, a name and a value a
+// line.
+func (v *VM) WriteMetrics(w io.Writer) error {
+	s := &v.stats
+	for _, c := range []struct {
+		name  string
+		value int64
+	}{
+		{"target_dials_total", s.Dials.Load()},
+		{"target_lagging_total", s.Lagging.Load()},
+		{"over_rate_total", s.OverRate.Load()},
+		{"store_errors_total", s.StoreErrors.Load()},
+		{"replica_reads_total", s.Replica.Load()},
+		{"retries_total", s.Retries.Load()},
+		{"lease_left_ms", (v.lease.Load().Until - clock.Now()).Milliseconds()},
+		{"live_vms", int64(len(v.view.Load().Peers))},
+		{"targets", int64(v.targets.len())},
+	} {
+		if _, err := fmt.Fprintf(w, "pollendoor_%s %d\n", c.name, c.value); err != nil {
+			return err
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for code, n := range s.outcomes {
+		if code == "" {
+			code = "OK"
+		}
+		if _, err := fmt.Fprintf(w, "pollendoor_statements_total{outcome=%q} %d\n", code, n); err != nil {
+			return err
+		}
+	}
+	if s.latency == nil {
+		return nil
+	}
+	for _, q := range []float64{50, 90, 99, 100} {
+		d := time.Duration(s.latency.ValueAtQuantile(q)) * time.Microsecond
+		if _, err := fmt.Fprintf(w, "pollendoor_statement_seconds{quantile=\"%g\"} %.6f\n", q/100, d.Seconds()); err != nil {
+			return err
+		}
+	}
+	_, err := fmt.Fprintf(w, "pollendoor_statement_seconds_count %d\n", s.latency.TotalCount())
+	return err
+}
--- /dev/null
+++ b/fleet/targets.go
@@ -0,0 +1,91 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pollendoor/pollendoor"
+)
+
+// targets is the known targets. Readers see an immutable snapshot.
+type targets struct {
+	snap atomic.Pointer[targetSnap]
+
+	mu   sync.Mutex
+	gone map[string]time.Time // entries that have vanished, and when
+}
+
+type targetSnap struct {
+	byID    map[string]pollendoor.TargetInfo
+	byGroup map[string][]pollendoor.TargetInfo
+}
+
+func (t *targets) load() *targetSnap {
+	if s := t.snap.Load(); s != nil {
+		return s
+	}
+	return &targetSnap{}
+}
+
+func (t *targets) len() int { return len(t.load().byID) }
+
+func (t *targets) get(id string) (pollendoor.TargetInfo, bool) {
+	i, ok := t.load().byID[id]
+	return i, ok
+}
+
+// group returns the targets of a group by id.
+func (t *targets) group(name string) []pollendoor.TargetInfo { return t.load().byGroup[name] }
+
+// all returns every target.
+func (t *targets) all() map[string]pollendoor.TargetInfo { return t.load().byID }
+
+// update changes the set of targets.
+func (t *targets) update(change func(byID map[string]pollendoor.TargetInfo, gone map[string]time.Time)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.load().byID
+	next := &targetSnap{
+		byID:    make(map[string]pollendoor.TargetInfo, len(old)),
+		byGroup: make(map[string][]pollendoor.TargetInfo),
+	}
+	for id, i := range old {
+		next.byID[id] = i
+	}
+	if t.gone == nil {
+		t.gone = make(map[string]time.Time)
+	}
+	change(next.byID, t.gone)
+	for _, i := range next.byID {
+		next.byGroup[i.Group] = append(next.byGroup[i.Group], i)
+	}
+	for _, list := range next.byGroup {
+		slices.SortFunc(list, func(a, b pollendoor.TargetInfo) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	t.snap.Store(next)
+}
+
+// expire drops the targets whose entries have been gone for longer than after,
+// and returns their ids.
+func (t *targets) expire(now time.Time, after time.Duration) []string {
+	t.mu.Lock()
+	var list []string
+	for id, at := range t.gone {
+		if now.Sub(at) > after {
+			list = append(list, id)
+		}
+	}
+	t.mu.Unlock()
+	if len(list) > 0 {
+		t.update(func(byID map[string]pollendoor.TargetInfo, gone map[string]time.Time) {
+			for _, id := range list {
+				delete(byID, id)
+				delete(gone, id)
+			}
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/fleet/vm.go
@@ -0,0 +1,183 @@
+// Package fleet is a VM of the system on the platform: it watches configuration
+// and targets, exchanges heartbeats with the VM that holds the duty, holds that
+// duty itself when it comes to it, and gives callers' statements a way to
+// targets. The decisions are in reign, caller, broker, share and sample.
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/clock"
+	"github.com/pollendoor/pollendoor/reign"
+	"github.com/pollendoor/pollendoor/sample"
+	"github.com/pollendoor/pollendoor/share"
+)
+
+// Platform is what a VM needs of the platform.
+type Platform struct {
+	Store pollendoor.Objects
+	Dial  pollendoor.DialTarget
+	// Promote orders a promotion and returns its HTTP status.
+	Promote func(ctx context.Context, group, target, holder string, token uint64) (int, error)
+	// PromoteTime bounds a promotion call.
+	PromoteTime time.Duration
+
+	ConfigKind   string // kind of the configuration's object, with a slash
+	ConfigName   string
+	DecodeConfig func([]byte) (*pollendoor.Config, error)
+	TargetsKind  string // kind of the targets' entries, with a slash
+	DecodeTarget func(pollendoor.Object) (pollendoor.TargetInfo, error)
+	// ReturnTime is how long an entry that has vanished may still come back.
+	ReturnTime time.Duration
+}
+
+// VM is one VM. Settings, Platform and Log must be set before Run.
+type VM struct {
+	Settings Settings
+	Platform Platform
+	Log      zerolog.Logger
+	// ConfigChanged is called after a new configuration is in force.
+	ConfigChanged func()
+
+	run       uint64 // identifies this process
+	stats     Stats
+	config    atomic.Pointer[configVersion]
+	targets   targets
+	buckets   share.Buckets
+	homes     homes
+	lanes     lanes
+	duty      duty
+	beat      beat
+	draining  atomic.Bool
+	served    lineLimit
+	refused   lineLimit
+	shareSeen uint64 // token of the holder that granted the shares
+
+	leaseMu sync.Mutex
+	lease   atomic.Pointer[reign.Lease]
+
+	view  atomic.Pointer[view]
+	rings sync.Map // *sample.Ring by group
+	fates sync.Map // *fate by group
+	lags  sync.Map // time.Duration until which a target counts as behind, by id
+}
+
+// configVersion is a configuration with its text, for other VMs.
+type configVersion struct {
+	*pollendoor.Config
+	raw []byte
+}
+
+// peer is another VM as the duty holder knows it.
+type peer struct {
+	Name string `cbor:"1,keyasint"`
+	Zone string `cbor:"2,keyasint"`
+	IP   string `cbor:"3,keyasint"`
+}
+
+// view is the live VMs. Version grows with each change by one holder.
+type view struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Peers   []peer `cbor:"2,keyasint"`
+}
+
+func (v *VM) self() peer {
+	return peer{Name: v.Settings.VM, Zone: v.Settings.Zone, IP: v.Settings.IP}
+}
+
+func (v *VM) addr(ip string) string { return net.JoinHostPort(ip, strconv.Itoa(v.Settings.PeerPort)) }
+
+// Run runs the VM until ctx ends.
+func (v *VM) Run(ctx context.Context) error {
+	v.run = rand.Uint64()
+	v.lease.Store(&reign.Lease{})
+	v.view.Store(&view{Peers: []peer{v.self()}})
+	v.homes.vm = v
+	v.lanes.vm = v
+	v.duty.vm = v
+	v.beat.vm = v
+	v.buckets.Configure(share.Slack{
+		Window: time.Duration(v.Settings.QuotaWindowS * float64(time.Second)),
+		Excess: v.Settings.QuotaExcess, Margin: v.Settings.QuotaMargin,
+	}, firstPeers)
+	if err := v.beat.listen(); err != nil {
+		return err
+	}
+	if err := v.lanes.listen(ctx); err != nil {
+		return err
+	}
+	var wg conc.WaitGroup
+	wg.Go(func() { v.beat.receive() })
+	wg.Go(func() { v.lanes.serve() })
+	wg.Go(func() { v.watchConfig(ctx) })
+	wg.Go(func() { v.watchTargets(ctx) })
+	wg.Go(func() { v.watchRecord(ctx) })
+	wg.Go(func() { v.beat.send(ctx) })
+	wg.Go(func() { v.homes.tend(ctx) })
+	wg.Go(func() { v.duty.hold(ctx) })
+	<-ctx.Done()
+	v.beat.close()
+	v.lanes.close()
+	wg.Wait()
+	return nil
+}
+
+// firstPeers is the number of VMs assumed before the duty holder has told it.
+const firstPeers = 16
+
+// Drain makes the VM report that it is not ready.
+func (v *VM) Drain() { v.draining.Store(true) }
+
+// contactLoss is how long a VM without a lease still counts as ready: a change
+// of the duty holder must not take the whole fleet out of rotation.
+const contactLoss = 3500 * time.Millisecond
+
+// Ready reports whether the VM can serve callers.
+func (v *VM) Ready() bool {
+	if v.draining.Load() || v.config.Load() == nil || v.targets.len() == 0 {
+		return false
+	}
+	l := v.lease.Load()
+	return l.Until > 0 && clock.Now() < l.Until+contactLoss
+}
+
+// Stats returns the VM's counters.
+func (v *VM) Stats() *Stats { return &v.stats }
+
+// changeLease updates the lease under its lock.
+func (v *VM) changeLease(change func(*reign.Lease) bool) bool {
+	v.leaseMu.Lock()
+	defer v.leaseMu.Unlock()
+	l := *v.lease.Load()
+	if !change(&l) {
+		return false
+	}
+	v.lease.Store(&l)
+	return true
+}
+
+func (v *VM) ring(group string) *sample.Ring {
+	if r, ok := v.rings.Load(group); ok {
+		return r.(*sample.Ring)
+	}
+	r, _ := v.rings.LoadOrStore(group, &sample.Ring{})
+	return r.(*sample.Ring)
+}
+
+func (v *VM) fate(group string) *fate {
+	if f, ok := v.fates.Load(group); ok {
+		return f.(*fate)
+	}
+	f, _ := v.fates.LoadOrStore(group, &fate{})
+	return f.(*fate)
+}
--- /dev/null
+++ b/reign/duty.go
@@ -0,0 +1,262 @@
+package reign
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pollendoor/pollendoor"
+)
+
+const (
+	// memberSilence is how long a member is silent before it is struck off.
+	memberSilence = 15 * time.Second
+	// fresh is how old a member's report may be to count.
+	fresh = 1200 * time.Millisecond
+	// doubtTime is how long nobody has reached a primary before it is replaced:
+	// longer than its longest statement, and three of its probes.
+	doubtTime = 900 * time.Millisecond
+	// refusedTime is the same for a primary that refuses connections.
+	refusedTime = 350 * time.Millisecond
+)
+
+// Report is what a VM tells of a group's primary.
+type Report struct {
+	Epoch   uint64        `cbor:"1,keyasint"`
+	OKAge   time.Duration `cbor:"2,keyasint"` // since it last answered; negative for never
+	Failing time.Duration `cbor:"3,keyasint"` // since attempts fail; zero if they don't
+	Refused bool          `cbor:"4,keyasint,omitempty"`
+	Demoted bool          `cbor:"5,keyasint,omitempty"` // it answered that it does not lead
+}
+
+type member struct {
+	heard    time.Duration // zero for not since the claim
+	version  uint64        // of the record that it has adopted
+	promised time.Duration // until then it claims nothing
+	reports  map[string]Report
+}
+
+// Duty is the state of the VM that holds the duty. Times are of its boot clock.
+type Duty struct {
+	Self      string
+	Record    Record
+	Claimed   time.Duration // when the claim was known to be written
+	Confirmed time.Duration // start of the last call that proved the hold
+	struck    time.Duration // when a member was last struck off
+	members   map[string]*member
+	intents   map[string]time.Duration // when a group's move was written
+	changed   map[string]uint64        // version of the record that moved it
+}
+
+// Heard takes a heartbeat of a VM. Echo is the holder's time that it repeats,
+// from an earlier answer; promise is how long after that the VM claims nothing.
+func (d *Duty) Heard(vm string, version uint64, echo, promise time.Duration, reports map[string]Report, now time.Duration) {
+	if d.members == nil {
+		d.members = make(map[string]*member)
+	}
+	m := d.members[vm]
+	if m == nil {
+		m = &member{}
+		d.members[vm] = m
+	}
+	m.heard, m.version, m.reports = now, version, reports
+	if echo > 0 && echo <= now {
+		m.promised = max(m.promised, echo+promise)
+	}
+}
+
+// Lease returns how long a lease may be granted now, counted from when its
+// request was sent; zero for none.
+func (d *Duty) Lease(vm string, now time.Duration) time.Duration {
+	if !d.Record.Member(vm) {
+		return 0
+	}
+	until := max(d.Confirmed+LeaseTime, d.promisedUntil()) - ClockSlack
+	return max(0, min(LeaseTime, until-now))
+}
+
+// promisedUntil returns the time until which all other members have promised to
+// claim nothing.
+func (d *Duty) promisedUntil() time.Duration {
+	until := time.Duration(1<<63 - 1)
+	for _, name := range d.Record.Members {
+		if name == d.Self {
+			continue
+		}
+		m := d.members[name]
+		if m == nil {
+			return 0
+		}
+		until = min(until, m.promised)
+	}
+	return until
+}
+
+// Written takes a record that this VM has written, with the start of the call.
+func (d *Duty) Written(r Record, start, now time.Duration) {
+	for name, g := range r.Groups {
+		if g.Moving && !d.Record.Groups[name].Moving || g.Moving && d.changed[name] == 0 {
+			if d.intents == nil {
+				d.intents, d.changed = make(map[string]time.Duration), make(map[string]uint64)
+			}
+			d.intents[name], d.changed[name] = now, r.Version
+		}
+		if !g.Moving {
+			delete(d.intents, name)
+			delete(d.changed, name)
+		}
+	}
+	for _, m := range d.Record.Members {
+		if !r.Member(m) {
+			d.struck = now
+		}
+	}
+	d.Record, d.Confirmed = r, max(d.Confirmed, start)
+}
+
+// Dropped reports whether no VM can use the old primary of a moving group any
+// longer.
+func (d *Duty) Dropped(group string, now time.Duration) bool {
+	if !d.Record.Groups[group].Moving {
+		return false
+	}
+	if now < d.struck+LeaseTime+ClockSlack && d.struck > 0 {
+		return false
+	}
+	since := max(d.intents[group], d.Claimed)
+	if now >= since+LeaseTime+ClockSlack {
+		return true
+	}
+	for _, name := range d.Record.Members {
+		if name == d.Self {
+			continue // its own lease follows the record at once
+		}
+		if m := d.members[name]; m == nil || m.version < d.changed[group] {
+			return false
+		}
+	}
+	return true
+}
+
+// Settled reports whether calls of an earlier holder can't be on their way any
+// more.
+func (d *Duty) Settled(callTime, now time.Duration) bool {
+	return d.Record.Token <= 1 || now >= d.Claimed+callTime
+}
+
+// Members returns the record's members as they should be, and whether that is a
+// change: VMs that were heard come in, and those silent for long go.
+func (d *Duty) Members(now time.Duration) ([]string, bool) {
+	var list []string
+	for _, name := range d.Record.Members {
+		m := d.members[name]
+		if name == d.Self || m != nil && now-m.heard < memberSilence || m == nil && now-d.Claimed < memberSilence {
+			list = append(list, name)
+		}
+	}
+	for name, m := range d.members {
+		if !slices.Contains(list, name) && now-m.heard < fresh {
+			list = append(list, name)
+		}
+	}
+	slices.Sort(list)
+	old := slices.Clone(d.Record.Members)
+	slices.Sort(old)
+	return list, !slices.Equal(list, old)
+}
+
+// Live returns the VMs that were heard lately, this one included.
+func (d *Duty) Live(now time.Duration) []string {
+	list := []string{d.Self}
+	for name, m := range d.members {
+		if name != d.Self && now-m.heard < fresh {
+			list = append(list, name)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Complete reports whether every member has been heard since the claim.
+func (d *Duty) Complete() bool {
+	for _, name := range d.Record.Members {
+		if name != d.Self && d.members[name] == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// Cause says why a primary is replaced; empty for no cause.
+type Cause string
+
+// The causes of a replacement.
+const (
+	CauseNone     Cause = ""
+	CauseSilent   Cause = "nobody reaches the primary"
+	CauseRefused  Cause = "the primary refuses connections"
+	CauseDemoted  Cause = "the primary says that it does not lead"
+	CauseGone     Cause = "the primary has left"
+	CauseDraining Cause = "the primary is about to leave"
+	CauseReborn   Cause = "the primary started anew without its log"
+)
+
+// Suspect decides whether a group's primary is to be replaced, from what the
+// members report and from its entry in the platform's store, nil if it has none.
+func (d *Duty) Suspect(group string, entry *pollendoor.TargetInfo, now time.Duration) Cause {
+	g, ok := d.Record.Groups[group]
+	if !ok || g.Moving {
+		return CauseNone
+	}
+	if entry != nil && entry.Draining {
+		return CauseDraining
+	}
+	var lastOK time.Duration
+	failing, refused, demoted := false, false, false
+	for _, m := range d.members {
+		r, ok := m.reports[group]
+		if !ok || r.Epoch != g.Epoch || now-m.heard > fresh {
+			continue
+		}
+		if r.OKAge >= 0 {
+			lastOK = max(lastOK, m.heard-r.OKAge)
+		}
+		failing = failing || r.Failing > 0
+		refused = refused || r.Refused
+		demoted = demoted || r.Demoted
+	}
+	silent := now - lastOK
+	switch {
+	case demoted && silent > refusedTime:
+		return CauseDemoted
+	case refused && silent > refusedTime:
+		return CauseRefused
+	case failing && silent > doubtTime:
+		return CauseSilent
+	case entry == nil && silent > doubtTime:
+		return CauseGone
+	}
+	return CauseNone
+}
+
+// Candidate is a target that may be promoted, with its status.
+type Candidate struct {
+	Target pollendoor.TargetInfo
+	Status pollendoor.TargetStatus
+}
+
+// Successor chooses the target to promote: the one whose log reaches furthest,
+// and of equals one that stays.
+func Successor(list []Candidate) (Candidate, bool) {
+	if len(list) == 0 {
+		return Candidate{}, false
+	}
+	best := list[0]
+	for _, c := range list[1:] {
+		p := pollendoor.Position{Term: c.Status.LastTerm, Index: c.Status.Index}
+		q := pollendoor.Position{Term: best.Status.LastTerm, Index: best.Status.Index}
+		if p.Newer(q) || p == q && best.Target.Draining && !c.Target.Draining {
+			best = c
+		}
+	}
+	return best, true
+}
--- /dev/null
+++ b/reign/lease.go
@@ -0,0 +1,88 @@
+package reign
+
+import "time"
+
+// Lease is a VM's right to use the primaries of a record. The zero value is
+// none.
+type Lease struct {
+	Record Record
+	Until  time.Duration // on the VM's boot clock
+}
+
+// Holds reports whether the primary of a group may be used in the given epoch.
+// It is asked before a request is sent and again when its answer is there.
+func (l *Lease) Holds(group string, epoch uint64, now time.Duration) bool {
+	g, ok := l.Record.Groups[group]
+	return ok && now < l.Until && !g.Moving && g.Epoch == epoch
+}
+
+// Adopt takes a lease on a record that a request sent at sent has brought. Older
+// records, and those of earlier holders, are ignored.
+func (l *Lease) Adopt(r Record, sent, length time.Duration) bool {
+	if r.Token < l.Record.Token || r.Token == l.Record.Token && r.Version < l.Record.Version {
+		return false
+	}
+	if r.Token > l.Record.Token || r.Version > l.Record.Version {
+		// What the old version allowed is not carried over.
+		l.Record, l.Until = r, 0
+	}
+	l.Until = max(l.Until, sent+length)
+	return true
+}
+
+// Learn takes a newer record without a lease on it. A lease by the same holder
+// goes on, for what the newer record allows.
+func (l *Lease) Learn(r Record) bool {
+	if r.Token < l.Record.Token || r.Token == l.Record.Token && r.Version <= l.Record.Version {
+		return false
+	}
+	until := l.Until
+	if r.Token != l.Record.Token {
+		until = 0
+	}
+	l.Record, l.Until = r, until
+	return true
+}
+
+// TakeoverAfter is how long the holder is silent before another VM considers to
+// take the duty over: three heartbeats.
+const TakeoverAfter = 1300 * time.Millisecond
+
+// loneTakeover is how long a VM that hears from less than half of the others
+// waits: most likely it is the one that is cut off.
+const loneTakeover = 4 * time.Second
+
+// rankDelay spreads the claims of the members.
+const rankDelay = 120 * time.Millisecond
+
+// Sight is what a VM knows when it considers to take the duty over.
+type Sight struct {
+	Self      string
+	Record    Record
+	Silent    time.Duration // since the holder last answered this VM
+	NoClaim   time.Duration // boot clock: until then this VM has promised not to claim
+	Others    int           // other members that were asked
+	Answered  int           // of them, those that answered
+	HeardByAt int           // of them, those that heard the holder lately
+}
+
+// MayClaim decides whether a VM claims the duty now.
+func MayClaim(s Sight, now time.Duration) bool {
+	if s.Record.Holder == "" || s.Record.Holder == s.Self {
+		return true // nobody holds it, or an earlier process of this VM does
+	}
+	if now < s.NoClaim || s.HeardByAt > 0 {
+		return false
+	}
+	rank := len(s.Record.Members)
+	for i, m := range s.Record.Members {
+		if m == s.Self {
+			rank = i
+		}
+	}
+	wait := TakeoverAfter + time.Duration(rank)*rankDelay
+	if !s.Record.Member(s.Self) || 2*s.Answered < s.Others {
+		wait += loneTakeover
+	}
+	return s.Silent >= wait
+}
--- /dev/null
+++ b/reign/record.go
@@ -0,0 +1,105 @@
+// Package reign decides who may use which primary of a database group, and when
+// another one may be promoted. It holds no I/O: state, event and time go in,
+// decisions come out.
+//
+// One VM of the fleet, the duty holder, replaces primaries. It is claimed by a
+// conditional write of the Record, which the platform's store keeps. A VM uses a
+// primary only under a lease on a version of the record; before a promotion the
+// holder writes a version in which the group is moving, and waits until every
+// member has adopted it or can't hold a lease on an older one.
+//
+// A lease is counted from when its request was sent, so that it ends on the VM
+// before the holder believes so, and it never reaches beyond LeaseTime after the
+// holder last proved that no other VM holds the duty: by a read or write of the
+// record, or by promises of all members that they claim nothing.
+package reign
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pollendoor/pollendoor"
+)
+
+// LeaseTime is how long a lease lasts at most. It bounds how long a promotion
+// waits for a VM that is cut off, and how long the fleet can do without proof
+// that its holder still is one.
+const LeaseTime = 2500 * time.Millisecond
+
+// PromiseTime is how long a member claims nothing after a heartbeat in which it
+// promised so. It bounds how long leases go on after the last heartbeat while the
+// store is away, and how long a takeover waits behind such a promise.
+const PromiseTime = 2000 * time.Millisecond
+
+// ClockSlack covers the difference in speed of two VMs' clocks over a lease.
+const ClockSlack = 50 * time.Millisecond
+
+// Group is the agreed state of one database group.
+type Group struct {
+	Epoch   uint64          `json:"epoch" cbor:"1,keyasint"`             // grows with each change of primary
+	Primary string          `json:"primary" cbor:"2,keyasint"`           // target id
+	Term    pollendoor.Term `json:"term" cbor:"3,keyasint"`              // that the primary leads
+	Moving  bool            `json:"moving" cbor:"4,keyasint,omitempty"`  // being replaced: nobody may use it
+	Planned bool            `json:"planned" cbor:"5,keyasint,omitempty"` // the old primary is well
+}
+
+// Record is what the fleet agrees on. Every write of it grows Version.
+type Record struct {
+	Version uint64           `json:"version"`
+	Token   uint64           `json:"token"`  // fencing token of the holder
+	Holder  string           `json:"holder"` // VM name
+	Addr    string           `json:"addr"`   // the holder's heartbeat address
+	Groups  map[string]Group `json:"groups"`
+	Members []string         `json:"members"` // VMs that may hold leases and claim the duty
+}
+
+// Member reports whether the VM may hold leases.
+func (r *Record) Member(vm string) bool { return slices.Contains(r.Members, vm) }
+
+// next returns a copy that shares nothing with r, with the next version.
+func (r *Record) next() Record {
+	n := *r
+	n.Version++
+	n.Groups = make(map[string]Group, len(r.Groups))
+	for k, g := range r.Groups {
+		n.Groups[k] = g
+	}
+	n.Members = slices.Clone(r.Members)
+	return n
+}
+
+// Claim returns the record with vm as its holder under the next token.
+func (r *Record) Claim(vm, addr string) Record {
+	n := r.next()
+	n.Token++
+	n.Holder, n.Addr = vm, addr
+	if !n.Member(vm) {
+		n.Members = append(n.Members, vm)
+	}
+	return n
+}
+
+// WithGroup returns the record with a group's state replaced.
+func (r *Record) WithGroup(name string, g Group) Record {
+	n := r.next()
+	n.Groups[name] = g
+	return n
+}
+
+// WithMembers returns the record with other members.
+func (r *Record) WithMembers(list []string) Record {
+	n := r.next()
+	n.Members = slices.Clone(list)
+	return n
+}
+
+// Move returns the state of a group whose primary is to be replaced.
+func (g Group) Move(planned bool) Group {
+	g.Moving, g.Planned = true, planned
+	return g
+}
+
+// Settle returns the state of a group that is led by another target.
+func (g Group) Settle(target string, t pollendoor.Term) Group {
+	return Group{Epoch: g.Epoch + 1, Primary: target, Term: t}
+}
--- /dev/null
+++ b/share/bucket.go
@@ -0,0 +1,148 @@
+package share
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/pollendoor/pollendoor"
+)
+
+// demandTime is the time constant of the moving average of demand.
+const demandTime = time.Second
+
+// Slack is what may be admitted beyond rate and burst, over all VMs, without
+// breaking the limit: a part of the allowance of a window, and a number.
+type Slack struct {
+	Window time.Duration
+	Excess float64 // part of the allowance of a window
+	Margin float64 // operations
+}
+
+// slackPart is the part of the slack that VMs without a share use.
+const slackPart = 0.5
+
+// rate returns the operations a second that one of n VMs may admit without a
+// share.
+func (s Slack) rate(l pollendoor.TeamLimit, n int) float64 {
+	w := s.Window.Seconds()
+	if w <= 0 {
+		return 0
+	}
+	return slackPart * (s.Excess*(l.Rate*w+l.Burst) + s.Margin) / w / float64(max(1, n))
+}
+
+// bucket is one team's tokens at a VM.
+type bucket struct {
+	share  float64
+	until  time.Duration
+	tokens float64
+	filled time.Duration
+	asked  float64
+	demand float64
+	since  time.Duration // when demand was last averaged
+	used   time.Duration
+}
+
+// Buckets admits operations at one VM. The zero value admits by the slack only.
+// It is safe for use by several goroutines.
+type Buckets struct {
+	mu    sync.Mutex
+	teams map[string]*bucket
+	seq   uint64
+	peers int
+	slack Slack
+}
+
+// Configure sets the slack and the number of VMs that share it.
+func (b *Buckets) Configure(s Slack, peers int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slack, b.peers = s, peers
+}
+
+func (b *Buckets) team(name string, now time.Duration) *bucket {
+	if b.teams == nil {
+		b.teams = make(map[string]*bucket)
+	}
+	t := b.teams[name]
+	if t == nil {
+		t = &bucket{filled: now, since: now, tokens: 1}
+		b.teams[name] = t
+	}
+	return t
+}
+
+// fill adds the tokens of the time since the last fill, by the share while it
+// lasted and by the slack behind it.
+func (t *bucket) fill(l pollendoor.TeamLimit, slack float64, now time.Duration) {
+	shared := max(0, min(now, t.until)-t.filled)
+	bare := max(0, now-max(t.filled, t.until))
+	t.tokens += shared.Seconds()*max(l.Rate*t.share, slack) + bare.Seconds()*slack
+	most := max(1, slack)
+	if now < t.until {
+		most = max(most, l.Burst*t.share)
+	}
+	t.tokens = math.Min(t.tokens, most)
+	t.filled = now
+}
+
+// Admit takes one operation of a team. It reports false if the team is over its
+// limit here.
+func (b *Buckets) Admit(team string, l pollendoor.TeamLimit, now time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.team(team, now)
+	t.asked++
+	t.used = now
+	t.fill(l, b.slack.rate(l, b.peers), now)
+	if t.tokens < 1 {
+		return false
+	}
+	t.tokens--
+	return true
+}
+
+// Report returns the shares held and the demand of each team, for the holder.
+func (b *Buckets) Report(now time.Duration) (map[string]Held, uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]Held, len(b.teams))
+	for name, t := range b.teams {
+		if d := (now - t.since).Seconds(); d > 0 {
+			k := 1 - math.Exp(-d/demandTime.Seconds())
+			t.demand += (t.asked/d - t.demand) * k
+			t.asked, t.since = 0, now
+		}
+		out[name] = Held{Amount: t.share, Left: max(0, t.until-now), Demand: t.demand}
+	}
+	return out, b.seq
+}
+
+// Adopt takes the shares that a request sent at sent has brought.
+func (b *Buckets) Adopt(shares map[string]float64, seq uint64, limits map[string]pollendoor.TeamLimit, sent, now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.seq = seq
+	for name, s := range shares {
+		t := b.team(name, now)
+		l := limits[name]
+		t.fill(l, b.slack.rate(l, b.peers), now)
+		t.share, t.until = s, sent+Life
+	}
+}
+
+// Know makes sure that a share is asked for each team, so that it is there
+// before the team's first caller.
+func (b *Buckets) Know(teams map[string]pollendoor.TeamLimit, now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name := range teams {
+		b.team(name, now)
+	}
+	for name := range b.teams {
+		if _, ok := teams[name]; !ok {
+			delete(b.teams, name)
+		}
+	}
+}
--- a/store.go
+++ b/store.go
@@ -12,6 +12,8 @@
 	ErrNotFound = errors.New("object not found")
 	// ErrConflict says that the object's version is not the expected one.
 	ErrConflict = errors.New("object version conflict")
+	// ErrHistoryGone says that changes since the revision are no longer known.
+	ErrHistoryGone = errors.New("store history is gone")
 )
 
 // Object is one versioned value of the platform's store. Version is opaque but
@@ -22,11 +24,11 @@
 	Value   []byte
 }
 
-// Store is the platform's object API.
+// Objects is the object API of a platform.
 //
 // An error other than ErrNotFound and ErrConflict leaves open whether a Put or
 // Delete took effect; the caller reads back to learn it.
-type Store interface {
+type Objects interface {
 	// Get returns the object, or ErrNotFound.
 	Get(ctx context.Context, name string) (Object, error)
 	// Put writes value if the object's version still is version, zero for a
@@ -39,6 +41,11 @@
 	// there are any, and the revision reached. It returns with none after the
 	// store's long-poll interval.
 	Watch(ctx context.Context, prefix string, revision uint64) ([]Object, uint64, error)
+}
+
+// Store is an object API that also lists the system's VMs.
+type Store interface {
+	Objects
 	// VMs returns the platform's lagging list of the system's VMs.
 	VMs(ctx context.Context) ([]VM, error)
 }
--- a/target.go
+++ b/target.go
@@ -30,7 +30,9 @@
 	Index   uint64 `json:"index"`   // last log entry received
 	Applied uint64 `json:"applied"` // last log entry visible to reads
 	Fenced  Term   `json:"fenced"`  // smaller terms are refused for good
-	AgeMS   int64  `json:"ageMs"`   // ms since its reads were level with the primary
+	// LastTerm is the term of the last log entry, where the target tells it.
+	LastTerm Term  `json:"lastTerm,omitempty"`
+	AgeMS    int64 `json:"ageMs"` // ms since its reads were level with the primary
 }
 
 // Age returns how old the target's reads were when it answered.
