--- a/caller/session.go
+++ b/caller/session.go
@@ -206,8 +206,12 @@
 func (s *Session) admit(q *pollendoor.Statement) (pollendoor.Route, string, pollendoor.Reply, bool) {
 	route, team, code := s.access()
 	text := "key or route is gone"
-	if code == "" && !s.cluster.Admit(team) {
-		code, text = pollendoor.ErrBusy, "over the team's rate"
+	if code == "" {
+		wait, ok := s.cluster.Admit(team)
+		if !ok {
+			code, text = pollendoor.ErrBusy, "over the team's rate"
+		}
+		time.Sleep(wait)
 	}
 	if code == "" {
 		return route, team, pollendoor.Reply{}, true
--- a/cluster.go
+++ b/cluster.go
@@ -41,8 +41,9 @@
 type Cluster interface {
 	// Config returns the configuration in force, nil for none yet.
 	Config() *Config
-	// Admit takes one operation out of a team's rate.
-	Admit(team string) bool
+	// Admit takes one operation out of a team's rate and returns how long it has
+	// to wait. It reports false if the team is over its rate.
+	Admit(team string) (time.Duration, bool)
 	// Lead returns a group's primary.
 	Lead(group string) (Lead, LeadState)
 	// Leads reports whether this VM's lease covers the group's epoch.
--- a/fleet/cluster.go
+++ b/fleet/cluster.go
@@ -23,16 +23,16 @@
 
 // Admit takes one operation out of a team's rate. A team without a limit, which
 // only open routes have, is let in.
-func (v *VM) Admit(team string) bool {
+func (v *VM) Admit(team string) (time.Duration, bool) {
 	l, ok := v.Config().Teams[team]
 	if !ok {
-		return true
+		return 0, true
 	}
-	if v.buckets.Admit(team, l, clock.Now()) {
-		return true
+	wait, ok := v.buckets.Admit(team, l, clock.Now())
+	if !ok {
+		v.stats.OverRate.Add(1)
 	}
-	v.stats.OverRate.Add(1)
-	return false
+	return wait, ok
 }
 
 // Lead returns a group's primary.
--- a/share/bucket.go
+++ b/share/bucket.go
@@ -9,7 +9,7 @@
 )
 
 // demandTime is the time constant of the moving average of demand.
-const demandTime = time.Second
+const demandTime = 2 * time.Second
 
 // Slack is what may be admitted beyond rate and burst, over all VMs, without
 // breaking the limit: a part of the allowance of a window, and a number.
@@ -19,8 +19,22 @@
 	Margin float64 // operations
 }
 
-// slackPart is the part of the slack that VMs without a share use.
-const slackPart = 0.5
+// MaxWait is the longest that an operation waits for its token instead of being
+// refused. Small shares fill slowly, and callers come in clusters.
+const MaxWait = 250 * time.Millisecond
+
+const (
+	// bareSlack is the part of the slack that VMs without a share use.
+	bareSlack = 0.3
+	// burstSlack is the part of the slack that enlarges the burst, which is
+	// divided among many VMs.
+	burstSlack = 0.6
+)
+
+// whole returns the operations beyond rate and burst that fit into a window.
+func (s Slack) whole(l pollendoor.TeamLimit) float64 {
+	return s.Excess*(l.Rate*s.Window.Seconds()+l.Burst) + s.Margin
+}
 
 // rate returns the operations a second that one of n VMs may admit without a
 // share.
@@ -29,9 +43,12 @@
 	if w <= 0 {
 		return 0
 	}
-	return slackPart * (s.Excess*(l.Rate*w+l.Burst) + s.Margin) / w / float64(max(1, n))
+	return bareSlack * s.whole(l) / w / float64(max(1, n))
 }
 
+// burst returns the operations that a whole share may admit at once.
+func (s Slack) burst(l pollendoor.TeamLimit) float64 { return l.Burst + burstSlack*s.whole(l) }
+
 // bucket is one team's tokens at a VM.
 type bucket struct {
 	share  float64
@@ -75,32 +92,46 @@
 
 // fill adds the tokens of the time since the last fill, by the share while it
 // lasted and by the slack behind it.
-func (t *bucket) fill(l pollendoor.TeamLimit, slack float64, now time.Duration) {
+func (t *bucket) fill(l pollendoor.TeamLimit, k Slack, n int, now time.Duration) {
+	bareRate := k.rate(l, n)
 	shared := max(0, min(now, t.until)-t.filled)
 	bare := max(0, now-max(t.filled, t.until))
-	t.tokens += shared.Seconds()*max(l.Rate*t.share, slack) + bare.Seconds()*slack
-	most := max(1, slack)
+	t.tokens += shared.Seconds()*max(l.Rate*t.share, bareRate) + bare.Seconds()*bareRate
+	most := max(1, bareRate)
 	if now < t.until {
-		most = max(most, l.Burst*t.share)
+		most = max(most, k.burst(l)*t.share)
 	}
 	t.tokens = math.Min(t.tokens, most)
 	t.filled = now
 }
 
-// Admit takes one operation of a team. It reports false if the team is over its
-// limit here.
-func (b *Buckets) Admit(team string, l pollendoor.TeamLimit, now time.Duration) bool {
+// Admit takes one operation of a team and returns how long it has to wait for
+// its token. It reports false, with nothing taken, if that is longer than
+// MaxWait.
+func (b *Buckets) Admit(team string, l pollendoor.TeamLimit, now time.Duration) (time.Duration, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.team(team, now)
 	t.asked++
 	t.used = now
-	t.fill(l, b.slack.rate(l, b.peers), now)
-	if t.tokens < 1 {
-		return false
+	t.fill(l, b.slack, b.peers, now)
+	if t.tokens >= 1 {
+		t.tokens--
+		return 0, true
+	}
+	rate := b.slack.rate(l, b.peers)
+	if now < t.until {
+		rate = max(rate, l.Rate*t.share)
+	}
+	if rate <= 0 {
+		return 0, false
+	}
+	wait := time.Duration((1 - t.tokens) / rate * float64(time.Second))
+	if wait > MaxWait {
+		return 0, false
 	}
 	t.tokens--
-	return true
+	return wait, true
 }
 
 // Report returns the shares held and the demand of each team, for the holder.
@@ -127,7 +158,7 @@
 	for name, s := range shares {
 		t := b.team(name, now)
 		l := limits[name]
-		t.fill(l, b.slack.rate(l, b.peers), now)
+		t.fill(l, b.slack, b.peers, now)
 		t.share, t.until = s, sent+Life
 	}
 }
--- a/share/pool.go
+++ b/share/pool.go
@@ -14,9 +14,9 @@
 	Life = 4 * time.Second
 	// even is the part of a team's allowance that is divided evenly, so that a
 	// VM that was idle can serve the first callers it gets.
-	even = 0.2
+	even = 0.25
 	// step is the least change of a share that is granted anew.
-	step = 0.02
+	step = 0.03
 )
 
 // grant is an amount that a VM may be using.
