fleet: the duty holder reads configuration and targets beside the watches; caller: a commit answered outside its lease is in doubt

Cause: a store that forgets its history lets watches wait in silence (CONFIG, up to 8.8 s); a commit whose lease lapsed was told as rolled back (REFUSED).

--- a/caller/operation.go
+++ b/caller/operation.go
@@ -31,6 +31,7 @@
 	route    pollendoor.Route
 	team     string
 	start    time.Duration
+	useless  uint64 // epoch whose primary can't serve it
 	decision pollendoor.Decision
 }
 
@@ -108,10 +109,7 @@
 		}
 	}
 	for {
-		if state == pollendoor.LeadServing {
-			if tried[lead.Target.ID] && o.left() < o.route.Timeout/2 {
-				return place{}, false, 0, refusal(pollendoor.ErrBusy, "the primary was tried")
-			}
+		if state == pollendoor.LeadServing && lead.Epoch != o.useless {
 			o.decision.Epoch = lead.Epoch
 			return place{target: lead.Target}, true, lead.Epoch, pollendoor.Reply{}
 		}
@@ -157,8 +155,11 @@
 	if r.Code == pollendoor.ErrLagging {
 		c.Lagged(p.target.ID)
 	}
+	if leased && (r.Code == pollendoor.ErrReadOnly || r.Code == pollendoor.ErrMisrouted) {
+		o.useless = epoch
+	}
 	if r.OK() && leased && !c.Leads(o.route.Group, epoch) {
-		if o.work.Write {
+		if o.work.Write || o.work.Ends {
 			return pollendoor.Reply{Code: pollendoor.ErrInDoubt, Text: "the primary may have been replaced"}
 		}
 		return pollendoor.Reply{Code: pollendoor.ErrAborted, Text: "the primary may have been replaced"}
--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -34,6 +34,8 @@
 	// configPatience is how long the watch may take to bring a configuration that
 	// another VM has.
 	configPatience = 500 * time.Millisecond
+	// differPatience is the same for the targets' entries.
+	differPatience = 700 * time.Millisecond
 	// maxPacket is the size of the receive buffer, in bytes.
 	maxPacket = 64 << 10
 )
@@ -79,6 +81,7 @@
 	Record *storedRecord      `cbor:"13,keyasint,omitempty"` // if Version is not the newest
 	View   *view              `cbor:"14,keyasint,omitempty"` // if ViewSeen is not the newest
 	Shares map[string]float64 `cbor:"15,keyasint,omitempty"`
+	Digest uint64             `cbor:"20,keyasint,omitempty"` // of the holder's targets
 	Want   bool               `cbor:"19,keyasint,omitempty"` // the holder needs promises: it does not reach the store
 
 	Config    uint64              `cbor:"16,keyasint,omitempty"` // version in force at the sender
@@ -102,6 +105,7 @@
 	sentIndex map[string]sample.Sample // newest sample reported, by group
 	adopted   time.Duration            // send time of the last heartbeat whose shares were adopted
 	wanted    bool                     // the holder asks for promises
+	differs   time.Duration            // since when the holder knows other targets, zero if not
 	renewing  bool
 	fetching  bool
 }
@@ -380,11 +384,35 @@
 	for name, s := range p.Positions {
 		v.ring(name).Add(sample.Sample{Since: p.Echo + s.Since, Position: pollendoor.Position{Term: s.Term, Index: s.Index}})
 	}
+	b.compareTargets(p.Digest, now)
 	if c := v.config.Load(); p.Config > 0 && (c == nil || c.Version < p.Config) {
 		b.fetchConfig(p.From, p.Config)
 	}
 }
 
+// compareTargets lists the targets anew if the holder has known others for a
+// while.
+func (b *beat) compareTargets(digest uint64, now time.Duration) {
+	if digest == b.vm.targets.load().digest {
+		b.differs = 0
+		return
+	}
+	if b.differs == 0 {
+		b.differs = now
+	}
+	if now-b.differs > differPatience {
+		b.differs = 0
+		b.vm.entries.nudge()
+	}
+}
+
+// silent reports whether the holder has not answered for a while.
+func (b *beat) silent() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return clock.Now()-max(b.answered, b.started) > selfLeaseAfter
+}
+
 // fetchConfig takes the configuration over from another VM that has a newer one.
 func (b *beat) fetchConfig(from peer, version uint64) {
 	b.mu.Lock()
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -290,7 +290,7 @@
 	a := &packet{
 		Kind: packetAnswer, Token: r.Token, Stamp: now, Echo: p.Stamp, Version: r.Version,
 		Lease: d.state.Lease(p.From.Name, now), Positions: make(map[string]position),
-		Want: now-d.state.Confirmed > wantAfter,
+		Want: now-d.state.Confirmed > wantAfter, Digest: v.targets.load().digest,
 	}
 	if version != r.Version {
 		a.Record = &storedRecord{Record: r, Run: v.run}
--- a/fleet/targets.go
+++ b/fleet/targets.go
@@ -2,11 +2,14 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/pollendoor/pollendoor"
 )
 
@@ -21,6 +24,7 @@
 type targetSnap struct {
 	byID    map[string]pollendoor.TargetInfo
 	byGroup map[string][]pollendoor.TargetInfo
+	digest  uint64 // of the entries that are listed
 }
 
 func (t *targets) load() *targetSnap {
@@ -65,9 +69,21 @@
 	for _, list := range next.byGroup {
 		slices.SortFunc(list, func(a, b pollendoor.TargetInfo) int { return cmp.Compare(a.ID, b.ID) })
 	}
+	next.digest = digest(next.byID, t.gone)
 	t.snap.Store(next)
 }
 
+// digest sums up the entries that are listed, so that VMs can compare theirs.
+func digest(byID map[string]pollendoor.TargetInfo, gone map[string]time.Time) uint64 {
+	var sum uint64
+	for id, i := range byID {
+		if _, ok := gone[id]; !ok {
+			sum += xxhash.Sum64String(fmt.Sprint(i))
+		}
+	}
+	return sum
+}
+
 // expire drops the targets whose entries have been gone for longer than after,
 // and returns their ids.
 func (t *targets) expire(now time.Time, after time.Duration) []string {
--- a/fleet/vm.go
+++ b/fleet/vm.go
@@ -53,6 +53,7 @@
 	stats     Stats
 	config    atomic.Pointer[configVersion]
 	targets   targets
+	entries   follower // of the targets' entries
 	buckets   share.Buckets
 	homes     homes
 	lanes     lanes
@@ -110,6 +111,7 @@
 		Window: time.Duration(v.Settings.QuotaWindowS * float64(time.Second)),
 		Excess: v.Settings.QuotaExcess, Margin: v.Settings.QuotaMargin,
 	}, firstPeers)
+	v.entries = v.targetsFollower()
 	if err := v.beat.listen(); err != nil {
 		return err
 	}
@@ -120,6 +122,7 @@
 	wg.Go(func() { v.beat.receive() })
 	wg.Go(func() { v.lanes.serve() })
 	wg.Go(func() { v.watchConfig(ctx) })
+	wg.Go(func() { v.pollStore(ctx) })
 	wg.Go(func() { v.watchTargets(ctx) })
 	wg.Go(func() { v.watchRecord(ctx) })
 	wg.Go(func() { v.beat.send(ctx) })
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +15,11 @@
 )
 
 const (
+	// configPoll is how often the duty holder reads the configuration, beside its
+	// watch: well within the time in which a version must be in force everywhere.
+	configPoll = 1000 * time.Millisecond
+	// targetsPoll is the same for the targets' entries.
+	targetsPoll = 2000 * time.Millisecond
 	// retryPause is the pause after a failed call to the store, with half of it
 	// as jitter. It bounds the calls of a fleet whose store is down.
 	retryPause = 400 * time.Millisecond
@@ -22,35 +28,63 @@
 	recordName = "fleet/record"
 )
 
-// follow lists a kind and then watches it, for good. List gets the whole, change
-// each later object.
-func (v *VM) follow(ctx context.Context, kind string, list func([]pollendoor.Object), change func(pollendoor.Object)) {
+// follower keeps a copy of one kind of object.
+type follower struct {
+	kind   string
+	list   func([]pollendoor.Object) // gets the whole
+	change func(pollendoor.Object)   // gets each later change
+
+	mu    sync.Mutex
+	stale context.CancelFunc // ends the waiting watch
+}
+
+// nudge lists the kind anew: a watch that waits may have missed changes.
+func (f *follower) nudge() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stale != nil {
+		f.stale()
+	}
+}
+
+// watch waits for changes until it is nudged.
+func (f *follower) watch(ctx context.Context, s pollendoor.Objects, revision uint64) ([]pollendoor.Object, uint64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.mu.Lock()
+	f.stale = cancel
+	f.mu.Unlock()
+	return s.Watch(ctx, f.kind, revision)
+}
+
+// follow lists a kind and then watches it, for good.
+func (v *VM) follow(ctx context.Context, f *follower) {
 	lost := false
 	for ctx.Err() == nil {
-		all, revision, err := v.Platform.Store.List(ctx, kind)
+		all, revision, err := v.Platform.Store.List(ctx, f.kind)
 		if err == nil {
 			if lost {
-				v.Log.Info().Str("kind", kind).Uint64("revision", revision).Msg("store regained")
+				v.Log.Info().Str("kind", f.kind).Uint64("revision", revision).Msg("store regained")
 			}
 			lost = false
-			list(all)
+			f.list(all)
 		}
 		for err == nil && ctx.Err() == nil {
 			var events []pollendoor.Object
-			events, revision, err = v.Platform.Store.Watch(ctx, kind, revision)
+			events, revision, err = f.watch(ctx, v.Platform.Store, revision)
 			for _, o := range events {
-				change(o)
+				f.change(o)
 			}
 		}
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			return
-		}
-		if errors.Is(err, pollendoor.ErrHistoryGone) {
-			v.Log.Info().Str("kind", kind).Msg("store history gone, listing anew")
+		case errors.Is(err, pollendoor.ErrHistoryGone), errors.Is(err, context.Canceled):
+			v.Log.Info().Err(err).Str("kind", f.kind).Msg("listing anew")
 			continue
 		}
 		if !lost {
-			v.Log.Warn().Err(err).Str("kind", kind).Msg("store lost")
+			v.Log.Warn().Err(err).Str("kind", f.kind).Msg("store lost")
 		}
 		lost = true
 		v.stats.StoreErrors.Add(1)
@@ -59,11 +93,23 @@
 }
 
 func (v *VM) watchConfig(ctx context.Context) {
-	v.follow(ctx, v.Platform.ConfigKind, func(all []pollendoor.Object) {
+	v.follow(ctx, &follower{kind: v.Platform.ConfigKind, change: v.configObject, list: func(all []pollendoor.Object) {
 		for _, o := range all {
 			v.configObject(o)
 		}
-	}, v.configObject)
+	}})
+}
+
+// readConfig asks the store for the configuration. A watch may miss a change for
+// as long as it waits.
+func (v *VM) readConfig(ctx context.Context) {
+	o, err := v.Platform.Store.Get(ctx, v.Platform.ConfigName)
+	if err != nil {
+		v.stats.StoreErrors.Add(1)
+		v.Log.Debug().Err(err).Msg("configuration not read")
+		return
+	}
+	v.takeConfig(o.Value, "own read")
 }
 
 func (v *VM) configObject(o pollendoor.Object) {
@@ -97,47 +143,70 @@
 	}
 }
 
-func (v *VM) watchTargets(ctx context.Context) {
-	v.follow(ctx, v.Platform.TargetsKind, func(all []pollendoor.Object) {
-		v.targets.update(func(byID map[string]pollendoor.TargetInfo, gone map[string]time.Time) {
-			listed := make(map[string]bool, len(all))
-			for _, o := range all {
-				if t, ok := v.decodeTarget(o); ok {
-					listed[t.ID] = true
-					byID[t.ID] = t
-					delete(gone, t.ID)
-				}
-			}
-			for id := range byID {
-				if _, ok := gone[id]; !listed[id] && !ok {
-					gone[id] = time.Now()
-				}
-			}
-		})
-		v.homes.refresh()
-	}, func(o pollendoor.Object) {
-		v.targets.update(func(byID map[string]pollendoor.TargetInfo, gone map[string]time.Time) {
-			id := o.Name[len(v.Platform.TargetsKind):]
-			if o.Version == 0 {
-				if _, ok := byID[id]; ok {
-					gone[id] = time.Now()
-					v.Log.Info().Str("target", id).Msg("target's entry removed")
-				}
-				return
+func (v *VM) watchTargets(ctx context.Context) { v.follow(ctx, &v.entries) }
+
+// targetsFollower returns the follower of the targets' entries.
+func (v *VM) targetsFollower() follower {
+	return follower{kind: v.Platform.TargetsKind, list: v.listTargets, change: v.changeTarget}
+}
+
+// readTargets asks the store for all entries, as readConfig does.
+func (v *VM) readTargets(ctx context.Context) {
+	all, _, err := v.Platform.Store.List(ctx, v.Platform.TargetsKind)
+	if err != nil {
+		v.stats.StoreErrors.Add(1)
+		v.Log.Debug().Err(err).Msg("targets not read")
+		return
+	}
+	v.listTargets(all)
+}
+
+func (v *VM) listTargets(all []pollendoor.Object) {
+	v.targets.update(func(byID map[string]pollendoor.TargetInfo, gone map[string]time.Time) {
+		listed := make(map[string]bool, len(all))
+		for _, o := range all {
+			if t, ok := v.decodeTarget(o); ok {
+				listed[t.ID] = true
+				v.logTarget(byID[t.ID], t)
+				byID[t.ID] = t
+				delete(gone, t.ID)
 			}
-			t, ok := v.decodeTarget(o)
-			if !ok {
-				return
+		}
+		for id := range byID {
+			if _, ok := gone[id]; !listed[id] && !ok {
+				gone[id] = time.Now()
+				v.Log.Info().Str("target", id).Msg("target's entry is missing")
 			}
-			if old := byID[id]; old != t {
-				v.Log.Info().Str("target", id).Str("group", t.Group).Str("addr", t.Addr).Str("zone", t.Zone).
-					Bool("draining", t.Draining).Bool("primary", t.Primary).Int64("born", t.Born).Msg("target's entry changed")
+		}
+	})
+	v.homes.refresh()
+}
+
+func (v *VM) changeTarget(o pollendoor.Object) {
+	v.targets.update(func(byID map[string]pollendoor.TargetInfo, gone map[string]time.Time) {
+		id := o.Name[len(v.Platform.TargetsKind):]
+		if o.Version == 0 {
+			if _, ok := byID[id]; ok {
+				gone[id] = time.Now()
+				v.Log.Info().Str("target", id).Msg("target's entry removed")
 			}
+			return
+		}
+		if t, ok := v.decodeTarget(o); ok {
+			v.logTarget(byID[id], t)
 			byID[id] = t
 			delete(gone, id)
-		})
-		v.homes.refresh()
+		}
 	})
+	v.homes.refresh()
+}
+
+func (v *VM) logTarget(old, t pollendoor.TargetInfo) {
+	if old == t {
+		return
+	}
+	v.Log.Info().Str("target", t.ID).Str("group", t.Group).Str("addr", t.Addr).Str("zone", t.Zone).
+		Bool("draining", t.Draining).Bool("primary", t.Primary).Int64("born", t.Born).Msg("target's entry changed")
 }
 
 func (v *VM) decodeTarget(o pollendoor.Object) (pollendoor.TargetInfo, bool) {
@@ -161,13 +230,13 @@
 		}
 		v.learn(r, "store")
 	}
-	v.follow(ctx, recordKind, func(all []pollendoor.Object) {
+	v.follow(ctx, &follower{kind: recordKind, change: take, list: func(all []pollendoor.Object) {
 		for _, o := range all {
 			take(o)
 		}
 		v.beat.listed.Store(true)
 		v.beat.wake()
-	}, take)
+	}})
 }
 
 func decodeRecord(o pollendoor.Object) (storedRecord, error) {
@@ -204,3 +273,19 @@
 		}
 	}
 }
+
+// pollStore reads configuration and targets while this VM holds the duty, or
+// does not hear who does. Other VMs learn from heartbeats that they have missed
+// something.
+func (v *VM) pollStore(ctx context.Context) {
+	for n := 0; ctx.Err() == nil; n++ {
+		pollendoor.Pause(ctx, configPoll)
+		if !v.duty.holds() && !v.beat.silent() {
+			continue
+		}
+		v.readConfig(ctx)
+		if n%int(targetsPoll/configPoll) == 0 {
+			v.readTargets(ctx)
+		}
+	}
+}
