--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -99,7 +99,7 @@
 	mu        sync.Mutex
 	answered  time.Duration // arrival of the holder's last answer
 	started   time.Duration
-	stamp     time.Duration // of that answer
+	stamp     stamp         // of that answer
 	noClaim   time.Duration // until then this VM has promised not to claim
 	told      map[string]tell
 	sentIndex map[string]sample.Sample // newest sample reported, by group
@@ -110,6 +110,22 @@
 	fetching  bool
 }
 
+// stamp is a time on the clock of one holder. It means nothing to another one:
+// each VM has a boot clock of its own.
+type stamp struct {
+	token uint64
+	at    time.Duration
+}
+
+// echo returns the stamp for a packet to the holder of a token, zero if it is
+// another one's.
+func (s stamp) echo(token uint64) time.Duration {
+	if s.token != token {
+		return 0
+	}
+	return s.at
+}
+
 // tell is another VM's word on the holder.
 type tell struct {
 	at    time.Duration
@@ -213,8 +229,8 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	p.Echo = b.stamp
-	if b.wanted && now-b.answered < selfLeaseAfter {
+	p.Echo = b.stamp.echo(r.Token)
+	if b.wanted && p.Echo > 0 && now-b.answered < selfLeaseAfter {
 		p.Promise = reign.PromiseTime
 		b.noClaim = max(b.noClaim, now+reign.PromiseTime)
 	}
@@ -224,7 +240,7 @@
 			continue
 		}
 		p.Reports[name] = rep
-		if b.stamp > 0 && s.Since > b.sentIndex[name].Since {
+		if p.Echo > 0 && s.Since > b.sentIndex[name].Since {
 			p.Positions[name] = position{Since: s.Since - b.answered, Term: s.Position.Term, Index: s.Position.Index}
 			if b.sentIndex == nil {
 				b.sentIndex = make(map[string]sample.Sample)
@@ -368,7 +384,7 @@
 		v.changeLease(func(l *reign.Lease) bool { return l.Adopt(r, p.Echo, p.Lease) })
 	}
 	b.mu.Lock()
-	b.answered, b.stamp, b.wanted = now, p.Stamp, p.Want
+	b.answered, b.stamp, b.wanted = now, stamp{p.Token, p.Stamp}, p.Want
 	fresh := p.Echo > b.adopted
 	if fresh {
 		b.adopted = p.Echo
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -282,7 +282,8 @@
 	r := d.state.Record
 	version := p.Version
 	if p.Token != r.Token {
-		version = 0
+		// It speaks of an earlier holder's record, clock and shares.
+		version, p.Echo, p.ShareSeq, p.Positions = 0, 0, 0, nil
 	}
 	d.state.Heard(p.From.Name, version, p.Echo, p.Promise, p.Reports, now)
 	d.peers[p.From.Name] = peerState{peer: p.From, config: p.Config}
@@ -312,11 +313,7 @@
 			a.Positions[name] = position{Since: s.Since - now, Term: s.Position.Term, Index: s.Position.Index}
 		}
 	}
-	seq := p.ShareSeq
-	if p.Token != r.Token {
-		seq = 0
-	}
-	a.Shares, a.ShareSeq = d.pool.Renew(p.From.Name, seq, p.Held, len(d.view.Peers), d.closed(now), now)
+	a.Shares, a.ShareSeq = d.pool.Renew(p.From.Name, p.ShareSeq, p.Held, len(d.view.Peers), d.closed(now), now)
 	return a
 }
 
