fleet, reign: a holder without the store is relieved by a VM that reaches it

Promises are now given only by VMs that do not reach the store themselves; one that does takes over.

--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -26,6 +26,8 @@
 	// selfLeaseAfter is how long the holder is silent before a VM asks the store
 	// itself whether its record still stands.
 	selfLeaseAfter = 900 * time.Millisecond
+	// renewPause is the least time between two such questions.
+	renewPause = 700 * time.Millisecond
 	// heardLately is how old a VM's contact with the holder may be to speak
 	// against a takeover.
 	heardLately = 900 * time.Millisecond
@@ -46,7 +48,7 @@
 const (
 	packetBeat   packetKind = iota + 1 // a VM to the duty holder
 	packetAnswer                       // its answer
-	packetPoke                         // the holder asks for a heartbeat now
+	packetPoke                         // the holder tells its record and asks for a heartbeat now
 	packetAsk                          // a VM asks another whether it hears the holder
 	packetTell                         // its answer
 )
@@ -104,7 +106,9 @@
 	told      map[string]tell
 	sentIndex map[string]sample.Sample // newest sample reported, by group
 	adopted   time.Duration            // send time of the last heartbeat whose shares were adopted
-	wanted    bool                     // the holder asks for promises
+	wanted    stamp                    // since when the holder of a token asks for promises, by this VM's clock
+	storeRead time.Duration            // start of this VM's last read of the record
+	storeOK   bool                     // it succeeded
 	differs   time.Duration            // since when the holder knows other targets, zero if not
 	renewing  bool
 	fetching  bool
@@ -196,19 +200,22 @@
 	}
 	b.mu.Lock()
 	silent := now - max(b.answered, b.started)
+	wanted := b.wanted.echo(r.Token) > 0
 	b.mu.Unlock()
 	if r.Holder != "" && r.Holder != v.Settings.VM {
 		b.write(r.Addr, b.heartbeat(&r, now))
 	}
-	if silent < selfLeaseAfter && r.Holder != "" && r.Holder != v.Settings.VM || !b.listed.Load() {
+	if silent < selfLeaseAfter && !wanted && r.Holder != "" && r.Holder != v.Settings.VM || !b.listed.Load() {
 		return
 	}
-	b.ask(&r, now)
+	if silent >= selfLeaseAfter {
+		b.ask(&r, now)
+	}
 	if r.Member(v.Settings.VM) && r.Holder != v.Settings.VM {
 		b.renew(ctx)
 	}
 	if reign.MayClaim(b.sight(&r, silent, now), now) {
-		v.duty.claim(ctx)
+		v.duty.claim(ctx, r.Token)
 	}
 }
 
@@ -230,7 +237,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p.Echo = b.stamp.echo(r.Token)
-	if b.wanted && p.Echo > 0 && now-b.answered < selfLeaseAfter {
+	if w := b.wanted.echo(r.Token); w > 0 && b.storeRead > w && !b.storeOK && p.Echo > 0 && now-b.answered < selfLeaseAfter {
+		// Neither the holder nor this VM reaches the store.
 		p.Promise = reign.PromiseTime
 		b.noClaim = max(b.noClaim, now+reign.PromiseTime)
 	}
@@ -265,6 +273,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := reign.Sight{Self: b.vm.Settings.VM, Record: *r, Silent: silent, NoClaim: b.noClaim}
+	if w := b.wanted.echo(r.Token); w > 0 {
+		s.Without, s.Store = now-w, b.storeOK && now-b.storeRead < tellAge
+	}
 	for _, p := range b.vm.view.Load().Peers {
 		if p.Name == b.vm.Settings.VM || p.Name == r.Holder {
 			continue
@@ -286,21 +297,19 @@
 // lease from the holder.
 func (b *beat) renew(ctx context.Context) {
 	b.mu.Lock()
-	busy := b.renewing
-	b.renewing = true
+	busy := b.renewing || clock.Now()-b.storeRead < renewPause
+	b.renewing = b.renewing || !busy
 	b.mu.Unlock()
 	if busy {
 		return
 	}
 	go func() {
-		defer func() {
-			b.mu.Lock()
-			b.renewing = false
-			b.mu.Unlock()
-		}()
 		v := b.vm
 		sent := clock.Now()
 		o, err := v.Platform.Store.Get(ctx, recordName)
+		b.mu.Lock()
+		b.renewing, b.storeRead, b.storeOK = false, sent, err == nil
+		b.mu.Unlock()
 		if err != nil {
 			v.stats.StoreErrors.Add(1)
 			v.Log.Debug().Err(err).Msg("lease not renewed at the store")
@@ -347,6 +356,9 @@
 	case packetAnswer:
 		b.answer(p, now)
 	case packetPoke:
+		if p.Record != nil {
+			b.vm.learn(*p.Record, "holder")
+		}
 		b.wake()
 	case packetAsk:
 		b.mu.Lock()
@@ -384,7 +396,12 @@
 		v.changeLease(func(l *reign.Lease) bool { return l.Adopt(r, p.Echo, p.Lease) })
 	}
 	b.mu.Lock()
-	b.answered, b.stamp, b.wanted = now, stamp{p.Token, p.Stamp}, p.Want
+	b.answered, b.stamp = now, stamp{p.Token, p.Stamp}
+	if !p.Want {
+		b.wanted = stamp{}
+	} else if b.wanted.token != p.Token {
+		b.wanted = stamp{p.Token, now}
+	}
 	fresh := p.Echo > b.adopted
 	if fresh {
 		b.adopted = p.Echo
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -60,11 +60,17 @@
 func (d *duty) holds() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.held
+	return d.holding()
 }
 
-// claim takes the duty over.
-func (d *duty) claim(ctx context.Context) {
+// holding reports whether this VM holds the duty as far as it knows. The caller
+// holds mu.
+func (d *duty) holding() bool {
+	return d.held && d.vm.lease.Load().Record.Token == d.state.Record.Token
+}
+
+// claim takes the duty over from the holder of a token.
+func (d *duty) claim(ctx context.Context, from uint64) {
 	if !d.writing.TryLock() {
 		return
 	}
@@ -76,7 +82,7 @@
 		return
 	}
 	v.learn(r, "claim")
-	if known := v.lease.Load().Record; known.Token != r.Token {
+	if r.Token != from {
 		return // somebody else was faster
 	}
 	next := storedRecord{Record: r.Record.Claim(v.Settings.VM, v.Settings.IP), Run: v.run}
@@ -98,6 +104,7 @@
 	d.mu.Unlock()
 	v.Log.Info().Uint64("token", next.Token).Str("before", r.Holder).Strs("members", next.Members).Msg("duty claimed")
 	v.learn(next, "claim")
+	d.poke()
 	v.beat.wake()
 }
 
@@ -129,7 +136,7 @@
 	defer d.writing.Unlock()
 	for try := 0; ; try++ {
 		d.mu.Lock()
-		held, object, old := d.held, d.object, d.state.Record
+		held, object, old := d.holding(), d.object, d.state.Record
 		d.mu.Unlock()
 		if !held {
 			return errLost
@@ -204,15 +211,18 @@
 // poke asks all VMs for a heartbeat now.
 func (d *duty) poke() {
 	d.mu.Lock()
-	list := make([]peerState, 0, len(d.peers))
+	ips := make(map[string]bool, len(d.peers))
 	for _, p := range d.peers {
-		list = append(list, p)
+		ips[p.IP] = true
 	}
+	for _, p := range d.view.Peers {
+		ips[p.IP] = true
+	}
+	r := storedRecord{Record: d.state.Record, Run: d.vm.run}
 	d.mu.Unlock()
-	for _, p := range list {
-		if p.Name != d.vm.Settings.VM {
-			d.vm.beat.write(p.IP, &packet{Kind: packetPoke})
-		}
+	delete(ips, d.vm.Settings.IP)
+	for ip := range ips {
+		d.vm.beat.write(ip, &packet{Kind: packetPoke, Token: r.Token, Record: &r})
 	}
 }
 
@@ -276,7 +286,7 @@
 	v := d.vm
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.held {
+	if !d.holding() {
 		return nil
 	}
 	r := d.state.Record
@@ -330,7 +340,7 @@
 		}
 		now := clock.Now()
 		d.mu.Lock()
-		held, due := d.held, now-d.state.Confirmed > confirmPeriod
+		held, due := d.holding(), now-d.state.Confirmed > confirmPeriod
 		d.mu.Unlock()
 		if !held {
 			continue
@@ -478,5 +488,5 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	g, ok := maps.Clone(d.state.Record.Groups)[name]
-	return g, ok && d.held
+	return g, ok && d.holding()
 }
--- a/fleet/move.go
+++ b/fleet/move.go
@@ -182,7 +182,7 @@
 	for ctx.Err() == nil {
 		now := clock.Now()
 		d.mu.Lock()
-		held, done := d.held, d.state.Dropped(name, now)
+		held, done := d.holding(), d.state.Dropped(name, now)
 		d.mu.Unlock()
 		if !held {
 			return false
--- a/reign/lease.go
+++ b/reign/lease.go
@@ -52,6 +52,10 @@
 // waits: most likely it is the one that is cut off.
 const loneTakeover = 4 * time.Second
 
+// withoutStore is how long the holder is without the store before a VM that
+// reaches it takes the duty over.
+const withoutStore = 500 * time.Millisecond
+
 // rankDelay spreads the claims of the members.
 const rankDelay = 120 * time.Millisecond
 
@@ -64,6 +68,8 @@
 	Others    int           // other members that were asked
 	Answered  int           // of them, those that answered
 	HeardByAt int           // of them, those that heard the holder lately
+	Without   time.Duration // since the holder says that it does not reach the store
+	Store     bool          // this VM has reached the store just now
 }
 
 // MayClaim decides whether a VM claims the duty now.
@@ -71,7 +77,7 @@
 	if s.Record.Holder == "" || s.Record.Holder == s.Self {
 		return true // nobody holds it, or an earlier process of this VM does
 	}
-	if now < s.NoClaim || s.HeardByAt > 0 {
+	if now < s.NoClaim {
 		return false
 	}
 	rank := len(s.Record.Members)
@@ -80,6 +86,14 @@
 			rank = i
 		}
 	}
+	if s.Without > 0 && s.Store {
+		// It can neither promote nor learn of changes. Its leases end, as this VM
+		// has not promised anything.
+		return s.Without >= withoutStore+time.Duration(rank)*rankDelay
+	}
+	if s.HeardByAt > 0 {
+		return false
+	}
 	wait := TakeoverAfter + time.Duration(rank)*rankDelay
 	if !s.Record.Member(s.Self) || 2*s.Answered < s.Others {
 		wait += loneTakeover
--- /dev/null
+++ b/reign/reign_test.go
@@ -0,0 +1,223 @@
+package reign_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/reign"
+)
+
+const second = time.Second
+
+func record(members ...string) reign.Record {
+	return reign.Record{
+		Version: 1, Token: 1, Holder: members[0], Members: members,
+		Groups: map[string]reign.Group{"g": {Epoch: 1, Primary: "p", Term: 1}},
+	}
+}
+
+func TestLeaseCoversOneEpochUntilItsEnd(t *testing.T) {
+	var l reign.Lease
+	l.Adopt(record("a", "b"), 10*second, 2*second)
+	moving := record("a", "b")
+	moving.Version = 2
+	moving.Groups = map[string]reign.Group{"g": moving.Groups["g"].Move(false)}
+	later := l
+	later.Learn(moving)
+	other := l
+	other.Learn(reign.Record{Version: 2, Token: 2, Groups: record("a").Groups})
+	for _, tc := range []struct {
+		name  string
+		lease reign.Lease
+		epoch uint64
+		now   time.Duration
+		want  bool
+	}{
+		{"within", l, 1, 11 * second, true},
+		{"at its end", l, 1, 12 * second, false},
+		{"other epoch", l, 2, 11 * second, false},
+		{"group is moving", later, 1, 11 * second, false},
+		{"another holder", other, 1, 11 * second, false},
+		{"none", reign.Lease{}, 0, second, false},
+	} {
+		if got := tc.lease.Holds("g", tc.epoch, tc.now); got != tc.want {
+			t.Errorf("%s: got %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
+// An answer to a heartbeat that was sent long ago must not lengthen a lease.
+func TestLateAnswerGivesShortLease(t *testing.T) {
+	var l reign.Lease
+	l.Adopt(record("a"), 10*second, 2*second)
+	l.Adopt(record("a"), 5*second, 2*second)
+	if got, want := l.Until, 12*second; got != want {
+		t.Errorf("got a lease until %v, want %v", got, want)
+	}
+}
+
+func TestMayClaim(t *testing.T) {
+	base := reign.Sight{Self: "b", Record: record("a", "b", "c"), Others: 1, Answered: 1, Silent: 5 * second}
+	with := func(change func(*reign.Sight)) reign.Sight {
+		s := base
+		change(&s)
+		return s
+	}
+	for _, tc := range []struct {
+		name string
+		s    reign.Sight
+		want bool
+	}{
+		{"holder silent for all", base, true},
+		{"holder answers", with(func(s *reign.Sight) { s.Silent = 0 }), false},
+		{"another VM hears the holder", with(func(s *reign.Sight) { s.HeardByAt = 1 }), false},
+		{"promised not to", with(func(s *reign.Sight) { s.NoClaim = 21 * second }), false},
+		{"nobody answers: cut off itself", with(func(s *reign.Sight) { s.Answered = 0 }), false},
+		{"nobody answers for long", with(func(s *reign.Sight) { s.Answered, s.Silent = 0, 7*second }), true},
+		{"earlier process of this VM", with(func(s *reign.Sight) { s.Record.Holder, s.Silent, s.HeardByAt = "b", 0, 1 }), true},
+		{"nobody holds it", with(func(s *reign.Sight) { s.Record.Holder, s.Silent = "", 0 }), true},
+		{"holder without the store, this VM with it", with(func(s *reign.Sight) { s.Silent, s.HeardByAt, s.Without, s.Store = 0, 1, 2*second, true }), true},
+		{"holder and this VM without the store", with(func(s *reign.Sight) { s.Silent, s.HeardByAt, s.Without = 0, 1, 2*second }), false},
+		{"holder without the store for a moment", with(func(s *reign.Sight) { s.Silent, s.HeardByAt, s.Without, s.Store = 0, 1, 100*time.Millisecond, true }), false},
+		{"holder without the store, promised not to", with(func(s *reign.Sight) { s.Silent, s.Without, s.Store, s.NoClaim = 0, 2*second, true, 21*second }), false},
+	} {
+		if got := reign.MayClaim(tc.s, 20*second); got != tc.want {
+			t.Errorf("%s: got %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
+// duty returns the holder a of a, b and c, with the claim at 10 s.
+func duty() *reign.Duty {
+	d := &reign.Duty{Self: "a", Record: record("a", "b", "c"), Claimed: 10 * second, Confirmed: 10 * second}
+	return d
+}
+
+func TestLeaseNeedsProofOrPromises(t *testing.T) {
+	d := duty()
+	if got := d.Lease("x", 10*second); got != 0 {
+		t.Errorf("no member: got %v, want none", got)
+	}
+	if got := d.Lease("b", 10*second); got <= 2*second {
+		t.Errorf("just proved: got %v, want about %v", got, reign.LeaseTime)
+	}
+	now := 20 * second
+	if got := d.Lease("b", now); got != 0 {
+		t.Errorf("long without proof: got %v, want none", got)
+	}
+	d.Heard("b", 1, now-second/10, reign.PromiseTime, nil, now)
+	if got := d.Lease("b", now); got != 0 {
+		t.Errorf("one promise of two: got %v, want none", got)
+	}
+	d.Heard("c", 1, now-second, reign.PromiseTime, nil, now)
+	if got, want := d.Lease("b", now), reign.PromiseTime-second-reign.ClockSlack; got != want {
+		t.Errorf("all promised: got %v, want %v", got, want)
+	}
+	d.Heard("c", 1, now+second, reign.PromiseTime, nil, now)
+	if got, want := d.Lease("b", now), reign.PromiseTime-second-reign.ClockSlack; got != want {
+		t.Errorf("echo of a time to come: got %v, want %v", got, want)
+	}
+}
+
+func TestDropped(t *testing.T) {
+	moving := func(d *reign.Duty) {
+		r := d.Record.WithGroup("g", d.Record.Groups["g"].Move(false))
+		d.Written(r, 20*second, 20*second)
+	}
+	for _, tc := range []struct {
+		name string
+		do   func(*reign.Duty)
+		now  time.Duration
+		want bool
+	}{
+		{"nobody has answered", moving, 21 * second, false},
+		{"all leases have run out", moving, 20*second + reign.LeaseTime + reign.ClockSlack, true},
+		{"all have adopted it", func(d *reign.Duty) {
+			moving(d)
+			d.Heard("b", 2, 0, 0, nil, 20*second)
+			d.Heard("c", 2, 0, 0, nil, 20*second)
+		}, 20 * second, true},
+		{"one has an older version", func(d *reign.Duty) {
+			moving(d)
+			d.Heard("b", 2, 0, 0, nil, 20*second)
+			d.Heard("c", 1, 0, 0, nil, 20*second)
+		}, 21 * second, false},
+		{"not moving", func(*reign.Duty) {}, 60 * second, false},
+		{"a member was struck off meanwhile", func(d *reign.Duty) {
+			moving(d)
+			d.Written(d.Record.WithMembers([]string{"a", "b"}), 21*second, 21*second)
+			d.Heard("b", 3, 0, 0, nil, 21*second)
+		}, 22 * second, false},
+	} {
+		d := duty()
+		tc.do(d)
+		if got := d.Dropped("g", tc.now); got != tc.want {
+			t.Errorf("%s: got %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
+func TestSuspect(t *testing.T) {
+	entry := &pollendoor.TargetInfo{ID: "p"}
+	report := func(r reign.Report) func(*reign.Duty) {
+		r.Epoch = 1
+		return func(d *reign.Duty) { d.Heard("b", 1, 0, 0, map[string]reign.Report{"g": r}, 20*second) }
+	}
+	for _, tc := range []struct {
+		name  string
+		do    func(*reign.Duty)
+		entry *pollendoor.TargetInfo
+		want  reign.Cause
+	}{
+		{"well", report(reign.Report{OKAge: second / 10}), entry, reign.CauseNone},
+		{"nobody uses it", func(*reign.Duty) {}, entry, reign.CauseNone},
+		{"silent", report(reign.Report{OKAge: 2 * second, Failing: second}), entry, reign.CauseSilent},
+		{"silent for a moment", report(reign.Report{OKAge: second / 2, Failing: second / 2}), entry, reign.CauseNone},
+		{"refuses", report(reign.Report{OKAge: second / 2, Failing: second / 2, Refused: true}), entry, reign.CauseRefused},
+		{"demoted", report(reign.Report{OKAge: second / 2, Demoted: true}), entry, reign.CauseDemoted},
+		{"leaving", report(reign.Report{OKAge: 0}), &pollendoor.TargetInfo{ID: "p", Draining: true}, reign.CauseDraining},
+		{"gone but answers", report(reign.Report{OKAge: second / 10}), nil, reign.CauseNone},
+		{"gone", func(*reign.Duty) {}, nil, reign.CauseGone},
+		{"one fails, another reaches it", func(d *reign.Duty) {
+			report(reign.Report{OKAge: 9 * second, Failing: 9 * second})(d)
+			d.Heard("c", 1, 0, 0, map[string]reign.Report{"g": {Epoch: 1, OKAge: second / 10}}, 20*second)
+		}, entry, reign.CauseNone},
+		{"report of an earlier epoch", func(d *reign.Duty) {
+			d.Heard("b", 1, 0, 0, map[string]reign.Report{"g": {Epoch: 0, OKAge: 9 * second, Failing: 9 * second}}, 20*second)
+		}, entry, reign.CauseNone},
+	} {
+		d := duty()
+		tc.do(d)
+		if got := d.Suspect("g", tc.entry, 20*second); got != tc.want {
+			t.Errorf("%s: got %q, want %q", tc.name, got, tc.want)
+		}
+	}
+}
+
+func TestSuccessor(t *testing.T) {
+	c := func(id string, term, index uint64, draining bool) reign.Candidate {
+		return reign.Candidate{
+			Target: pollendoor.TargetInfo{ID: id, Draining: draining},
+			Status: pollendoor.TargetStatus{LastTerm: pollendoor.Term(term), Index: index},
+		}
+	}
+	for _, tc := range []struct {
+		name string
+		list []reign.Candidate
+		want string
+	}{
+		{"furthest log", []reign.Candidate{c("a", 1, 5, false), c("b", 1, 7, false)}, "b"},
+		{"newer term before index", []reign.Candidate{c("a", 1, 9, false), c("b", 2, 7, false)}, "b"},
+		{"of equals the one that stays", []reign.Candidate{c("a", 1, 5, true), c("b", 1, 5, false)}, "b"},
+		{"no acknowledged write is lost for one that stays", []reign.Candidate{c("a", 1, 6, true), c("b", 1, 5, false)}, "a"},
+	} {
+		got, ok := reign.Successor(tc.list)
+		if !ok || got.Target.ID != tc.want {
+			t.Errorf("%s: got %q, want %q", tc.name, got.Target.ID, tc.want)
+		}
+	}
+	if _, ok := reign.Successor(nil); ok {
+		t.Error("no candidates: got one, want none")
+	}
+}
