--- a/caller/session.go
+++ b/caller/session.go
@@ -13,6 +13,10 @@
 	"github.com/pollendoor/pollendoor/clock"
 )
 
+// configWait is how long a new session waits for the configuration of a VM that
+// has just started. Callers give up after 2 s.
+const configWait = 1500 * time.Millisecond
+
 // none is the signature of answers that no target gave.
 const none = "-"
 
@@ -24,6 +28,9 @@
 // Open opens a session for a database and a key.
 func (s Sessions) Open(database, key string) (pollendoor.Session, pollendoor.ErrorCode) {
 	n := &Session{cluster: s.Cluster, database: database, key: key}
+	for begin := clock.Now(); s.Cluster.Config() == nil && clock.Now()-begin < configWait; {
+		time.Sleep(poll)
+	}
 	if _, _, code := n.access(); code != "" {
 		s.Cluster.Decided(&pollendoor.Decision{Database: database, Outcome: code, Cause: "session refused"})
 		return nil, code
--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -77,6 +77,7 @@
 	Held     map[string]share.Held   `cbor:"9,keyasint,omitempty"`
 	ShareSeq uint64                  `cbor:"10,keyasint,omitempty"`
 	ViewSeen uint64                  `cbor:"11,keyasint,omitempty"`
+	Run      uint64                  `cbor:"21,keyasint,omitempty"` // identifies the process
 
 	// Of an answer.
 	Lease  time.Duration      `cbor:"12,keyasint,omitempty"`
@@ -224,7 +225,7 @@
 	v := b.vm
 	held, seq := v.buckets.Report(now)
 	p := &packet{
-		Kind: packetBeat, Token: r.Token, Stamp: now, Version: r.Version,
+		Kind: packetBeat, Token: r.Token, Stamp: now, Version: r.Version, Run: v.run,
 		Reports: make(map[string]reign.Report), Positions: make(map[string]position),
 		Held: held, ViewSeen: v.view.Load().Version,
 	}
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -246,7 +246,7 @@
 		seq = 0
 	}
 	live := len(d.state.Live(now))
-	shares, seq := d.pool.Renew(v.Settings.VM, seq, held, live, d.closed(now), now)
+	shares, seq := d.pool.Renew(share.Report{VM: v.Settings.VM, Run: v.run, Seq: seq, Held: held}, live, d.closed(now), now)
 	if c := v.Config(); c != nil {
 		v.setShareToken(d.state.Record.Token)
 		v.buckets.Adopt(shares, seq, c.Teams, now, now)
@@ -323,7 +323,7 @@
 			a.Positions[name] = position{Since: s.Since - now, Term: s.Position.Term, Index: s.Position.Index}
 		}
 	}
-	a.Shares, a.ShareSeq = d.pool.Renew(p.From.Name, p.ShareSeq, p.Held, len(d.view.Peers), d.closed(now), now)
+	a.Shares, a.ShareSeq = d.pool.Renew(share.Report{VM: p.From.Name, Run: p.Run, Seq: p.ShareSeq, Held: p.Held}, len(d.view.Peers), d.closed(now), now)
 	return a
 }
 
--- a/reign/duty.go
+++ b/reign/duty.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// memberSilence is how long a member is silent before it is struck off.
-	memberSilence = 15 * time.Second
+	// memberSilence is how long a member is silent before it is struck off: its
+	// lease and its shares of rates have run out by then.
+	memberSilence = 6 * time.Second
 	// fresh is how old a member's report may be to count.
 	fresh = 1200 * time.Millisecond
 	// doubtTime is how long nobody has reached a primary before it is replaced:
--- a/share/pool.go
+++ b/share/pool.go
@@ -28,7 +28,9 @@
 
 // holding is what is known of a VM's use of one team's allowance.
 type holding struct {
+	run    uint64 // process that reported it
 	demand float64
+	before float64 // held from an earlier holder, lapsed or not
 	grants []grant // not superseded yet
 }
 
@@ -50,36 +52,44 @@
 // Held is a share that a VM reports.
 type Held struct {
 	Amount float64       `cbor:"1,keyasint"`
-	Left   time.Duration `cbor:"2,keyasint"` // until it lapses
+	Left   time.Duration `cbor:"2,keyasint"` // until it lapses; zero if it has
 	Demand float64       `cbor:"3,keyasint"` // operations a second asked for
 }
 
-// Renew takes a VM's report and returns its shares. Seq is that of the grants
-// that the VM has adopted last. While closed, an earlier holder's grants may be
-// unknown, and only what is held already is granted again.
-func (p *Pool) Renew(vm string, seq uint64, held map[string]Held, live int, closed bool, now time.Duration) (map[string]float64, uint64) {
+// Report is what a VM tells of its shares.
+type Report struct {
+	VM   string
+	Run  uint64 // of its process: what an earlier one held is not in use any more
+	Seq  uint64 // of the grants adopted last, zero for those of another holder
+	Held map[string]Held
+}
+
+// Renew takes a VM's report and returns its shares and their number. Live is how
+// many VMs share. While closed, grants of an earlier holder to VMs that have not
+// reported yet may be in use, and only what the others held is divided.
+func (p *Pool) Renew(r Report, live int, closed bool, now time.Duration) (map[string]float64, uint64) {
 	if p.teams == nil {
 		p.teams = make(map[string]map[string]*holding)
 	}
 	p.seq++
-	out := make(map[string]float64, len(held))
-	for team, h := range held {
+	out := make(map[string]float64, len(r.Held))
+	for team, h := range r.Held {
 		vms := p.teams[team]
 		if vms == nil {
 			vms = make(map[string]*holding)
 			p.teams[team] = vms
 		}
-		own := vms[vm]
-		if own == nil {
-			own = &holding{}
-			vms[vm] = own
-			if h.Left > 0 {
+		own := vms[r.VM]
+		if own == nil || own.run != r.Run {
+			own = &holding{run: r.Run, before: h.Amount}
+			vms[r.VM] = own
+			if h.Left > 0 && h.Amount > 0 {
 				own.grants = []grant{{amount: h.Amount, until: now + h.Left}}
 			}
 		}
 		own.demand = h.Demand
-		own.grants = slices.DeleteFunc(own.grants, func(g grant) bool { return g.seq < seq })
-		amount := p.amount(vms, vm, live, closed, now)
+		own.grants = slices.DeleteFunc(own.grants, func(g grant) bool { return g.seq < r.Seq })
+		amount := p.amount(vms, r.VM, live, closed, now)
 		own.grants = append(own.grants, grant{seq: p.seq, amount: amount, until: now + Life})
 		out[team] = amount
 	}
@@ -88,27 +98,31 @@
 
 // amount decides the share of a VM.
 func (p *Pool) amount(vms map[string]*holding, vm string, live int, closed bool, now time.Duration) float64 {
-	total, others := 0.0, 0.0
+	demand, others, before := 0.0, 0.0, 0.0
 	for name, h := range vms {
 		o := h.outstanding(now)
 		if name != vm {
 			others += o
 		}
 		if o > 0 || name == vm {
-			total += h.demand
+			demand += h.demand
 		}
+		before += h.before
+	}
+	whole := 1.0
+	if closed {
+		// All that the earlier holder granted summed to one at most; what is not
+		// with the VMs that have reported may be with the others.
+		whole = min(1, before)
 	}
 	own := vms[vm]
-	want := 1 / float64(max(1, live))
-	if total > 0 {
-		want = even/float64(max(1, live)) + (1-even)*own.demand/total
+	want := whole / float64(max(1, live))
+	if demand > 0 {
+		want = whole * (even/float64(max(1, live)) + (1-even)*own.demand/demand)
 	}
 	current := own.outstanding(now)
-	if closed {
-		return current
-	}
-	if d := want - current; d < step && d > -step && current > 0 && current+others <= 1 {
+	if d := want - current; d < step && d > -step && current > 0 && current+others <= whole {
 		return current
 	}
-	return max(0, min(want, 1-others))
+	return max(0, min(want, whole-others))
 }
--- /dev/null
+++ b/share/share_test.go
@@ -0,0 +1,172 @@
+package share_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/share"
+)
+
+var limit = pollendoor.TeamLimit{Rate: 50, Burst: 50}
+
+var slack = share.Slack{Window: 5 * time.Second, Excess: 0.1, Margin: 20}
+
+func held(amount float64, left time.Duration, demand float64) map[string]share.Held {
+	return map[string]share.Held{"t": {Amount: amount, Left: left, Demand: demand}}
+}
+
+// A skewed balancer: one VM gets nearly all callers of a team.
+func TestSharesFollowDemand(t *testing.T) {
+	var p share.Pool
+	now := time.Duration(0)
+	amounts := make(map[string]float64)
+	seq := make(map[string]uint64)
+	for range 40 {
+		now += 100 * time.Millisecond
+		for vm, demand := range map[string]float64{"a": 40, "b": 1, "c": 0} {
+			got, n := p.Renew(share.Report{VM: vm, Seq: seq[vm], Held: held(amounts[vm], share.Life, demand)}, 3, false, now)
+			amounts[vm], seq[vm] = got["t"], n
+		}
+	}
+	if got, least := amounts["a"], 0.75; got < least {
+		t.Errorf("busy VM: got %.2f, want at least %.2f", got, least)
+	}
+	if got := amounts["c"]; got <= 0 {
+		t.Errorf("idle VM: got %.2f, want a share for its first callers", got)
+	}
+}
+
+// A new duty holder does not know what the VMs that it has not heard may use.
+func TestNewHolderDividesOnlyWhatWasHeld(t *testing.T) {
+	var p share.Pool
+	a, _ := p.Renew(share.Report{VM: "a", Held: held(0.3, 0, 10)}, 3, true, time.Second)
+	b, _ := p.Renew(share.Report{VM: "b", Held: held(0.2, time.Second, 10)}, 3, true, time.Second)
+	if got, most := a["t"]+b["t"], 0.5; got > most+1e-9 || got < 0.3 {
+		t.Errorf("got %.2f together, want up to %.2f", got, most)
+	}
+	c, _ := p.Renew(share.Report{VM: "c", Run: 2, Held: held(0, 0, 10)}, 3, true, time.Second)
+	if got := a["t"] + b["t"] + c["t"]; got > 0.5+1e-9 {
+		t.Errorf("got %.2f with a VM that held nothing, want at most 0.5", got)
+	}
+}
+
+// What a killed process held is free as soon as its successor reports.
+func TestRestartFreesShares(t *testing.T) {
+	var p share.Pool
+	p.Renew(share.Report{VM: "a", Run: 1, Held: held(0, 0, 10)}, 1, false, time.Second)
+	p.Renew(share.Report{VM: "a", Run: 2, Held: held(0, 0, 0)}, 2, false, time.Second)
+	got, _ := p.Renew(share.Report{VM: "b", Run: 3, Held: held(0, 0, 10)}, 2, false, time.Second)
+	if least := 0.3; got["t"] < least {
+		t.Errorf("got %.2f, want at least %.2f", got["t"], least)
+	}
+}
+
+// Whatever is lost, late or restarted, the shares in use never exceed the whole.
+func TestSharesNeverExceedTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var p share.Pool
+		type vm struct {
+			amount float64
+			until  time.Duration
+			seq    uint64
+			run    uint64
+		}
+		vms := make([]vm, 3)
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond
+			i := rapid.IntRange(0, 2).Draw(t, "vm")
+			v := &vms[i]
+			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+				*v = vm{run: v.run + 1}
+			}
+			r := share.Report{VM: fmt.Sprint(i), Run: v.run, Seq: v.seq, Held: held(v.amount, max(0, v.until-now), rapid.Float64Range(0, 100).Draw(t, "demand"))}
+			got, seq := p.Renew(r, 3, false, now)
+			if rapid.IntRange(0, 2).Draw(t, "lost") > 0 {
+				v.amount, v.until, v.seq = got["t"], now+share.Life, seq
+			}
+			sum := 0.0
+			for _, v := range vms {
+				if v.until > now {
+					sum += v.amount
+				}
+			}
+			if sum > 1+1e-9 {
+				t.Fatalf("got %.3f of the allowance in use at %v, want at most 1", sum, now)
+			}
+		}
+	})
+}
+
+// However callers come, and however shares move, no window admits more than the
+// limit with its tolerance.
+func TestWindowHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const vms = 4
+		var p share.Pool
+		buckets := make([]share.Buckets, vms)
+		for i := range buckets {
+			buckets[i].Configure(slack, vms)
+		}
+		var admitted []time.Duration
+		limits := map[string]pollendoor.TeamLimit{"t": limit}
+		for now := time.Duration(0); now < 12*time.Second; now += 20 * time.Millisecond {
+			if now%(400*time.Millisecond) == 0 {
+				for i := range buckets {
+					h, seq := buckets[i].Report(now)
+					got, n := p.Renew(share.Report{VM: fmt.Sprint(i), Seq: seq, Held: h}, vms, false, now)
+					if rapid.IntRange(0, 4).Draw(t, "lost") > 0 {
+						buckets[i].Adopt(got, n, limits, now, now)
+					}
+				}
+			}
+			i := rapid.IntRange(0, vms-1).Draw(t, "vm")
+			for range rapid.IntRange(0, 8).Draw(t, "callers") {
+				if wait, ok := buckets[i].Admit("t", limit, now); ok {
+					admitted = append(admitted, now+wait)
+				}
+			}
+		}
+		most := int((limit.Rate*slack.Window.Seconds()+limit.Burst)*(1+slack.Excess) + slack.Margin)
+		for i, at := range admitted {
+			n := 0
+			for _, b := range admitted[i:] {
+				if b-at < slack.Window && b >= at {
+					n++
+				}
+			}
+			if n > most {
+				t.Fatalf("got %d operations in a window, want at most %d", n, most)
+			}
+		}
+	})
+}
+
+func TestTokenIsWaitedForBriefly(t *testing.T) {
+	var b share.Buckets
+	b.Configure(slack, 1)
+	limits := map[string]pollendoor.TeamLimit{"t": limit}
+	b.Adopt(map[string]float64{"t": 1}, 1, limits, 0, 0)
+	for {
+		wait, ok := b.Admit("t", limit, 0)
+		if !ok {
+			t.Fatal("got a refusal, want a wait first")
+		}
+		if wait > 0 {
+			if wait > share.MaxWait {
+				t.Errorf("got a wait of %v, want at most %v", wait, share.MaxWait)
+			}
+			break
+		}
+	}
+	for range 1000 {
+		if _, ok := b.Admit("t", limit, 0); !ok {
+			return
+		}
+	}
+	t.Error("got no refusal in 1000 operations at once, want one")
+}
