--- a/broker/broker.go
+++ b/broker/broker.go
@@ -26,6 +26,8 @@
 	darkPause = 250 * time.Millisecond
 	// stepTimeout bounds statements of the system that occupy no slot.
 	stepTimeout = 600 * time.Millisecond
+	// probeTimeout bounds a probe, which occupies no slot.
+	probeTimeout = 400 * time.Millisecond
 	// idleTime is how long a connection is kept that nobody uses.
 	idleTime = 20 * time.Second
 	// firstService is the assumed time of a statement before one was measured.
@@ -318,8 +320,8 @@
 	if n := len(b.idle); n > 0 {
 		l = b.idle[n-1]
 		b.idle = b.idle[:n-1]
-	} else if b.open < b.budget && !time.Now().Before(b.full) {
-		b.open++
+	} else if b.open <= b.budget && !time.Now().Before(b.full) {
+		b.open++ // one beyond the budget: a probe tells whether the others are stuck
 	} else {
 		b.mu.Unlock()
 		return
@@ -332,7 +334,7 @@
 		}
 	}
 	sent := clock.Now()
-	r := l.Probe(time.Now().Add(stepTimeout))
+	r := l.Probe(time.Now().Add(probeTimeout))
 	if b.Observe != nil {
 		b.Observe(b.Target(), r, sent)
 	}
--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -26,6 +26,13 @@
 	// selfLeaseAfter is how long the holder is silent before a VM asks the store
 	// itself whether its record still stands.
 	selfLeaseAfter = 900 * time.Millisecond
+	// relayAfter is how long the holder is silent before heartbeats go through
+	// other VMs as well, and relayedThrough through how many.
+	relayAfter     = 600 * time.Millisecond
+	relayedThrough = 3
+	// promiseAfter is how long a read of the store goes unanswered before this VM
+	// counts as one that does not reach it.
+	promiseAfter = 250 * time.Millisecond
 	// renewPause is the least time between two such questions.
 	renewPause = 700 * time.Millisecond
 	// heardLately is how old a VM's contact with the holder may be to speak
@@ -89,6 +96,8 @@
 
 	Config    uint64              `cbor:"16,keyasint,omitempty"` // version in force at the sender
 	Positions map[string]position `cbor:"17,keyasint,omitempty"` // of primaries, by group
+	Relay     string              `cbor:"22,keyasint,omitempty"` // VM's IP through which a heartbeat came
+	To        string              `cbor:"23,keyasint,omitempty"` // VM's IP that an answer is for
 	Age       time.Duration       `cbor:"18,keyasint,omitempty"` // of a tell: since the holder answered
 }
 
@@ -159,8 +168,14 @@
 	}
 }
 
+// write sends a packet of this VM.
 func (b *beat) write(ip string, p *packet) {
 	p.From = b.vm.self()
+	b.forward(ip, p)
+}
+
+// forward sends a packet as it is.
+func (b *beat) forward(ip string, p *packet) {
 	raw, err := cbor.Marshal(p)
 	if err != nil {
 		b.vm.Log.Error().Err(err).Msg("packet not encoded")
@@ -204,7 +219,11 @@
 	wanted := b.wanted.echo(r.Token) > 0
 	b.mu.Unlock()
 	if r.Holder != "" && r.Holder != v.Settings.VM {
-		b.write(r.Addr, b.heartbeat(&r, now))
+		p := b.heartbeat(&r, now)
+		b.write(r.Addr, p)
+		if silent > relayAfter {
+			b.relays(&r, p)
+		}
 	}
 	if silent < selfLeaseAfter && !wanted && r.Holder != "" && r.Holder != v.Settings.VM || !b.listed.Load() {
 		return
@@ -238,7 +257,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p.Echo = b.stamp.echo(r.Token)
-	if w := b.wanted.echo(r.Token); w > 0 && b.storeRead > w && !b.storeOK && p.Echo > 0 && now-b.answered < selfLeaseAfter {
+	if w := b.wanted.echo(r.Token); w > 0 && b.storeRead > w && !b.storeOK && now-b.storeRead > promiseAfter && p.Echo > 0 && now-b.answered < selfLeaseAfter {
 		// Neither the holder nor this VM reaches the store.
 		p.Promise = reign.PromiseTime
 		b.noClaim = max(b.noClaim, now+reign.PromiseTime)
@@ -307,9 +326,12 @@
 	go func() {
 		v := b.vm
 		sent := clock.Now()
+		b.mu.Lock()
+		b.storeRead, b.storeOK = sent, false
+		b.mu.Unlock()
 		o, err := v.Platform.Store.Get(ctx, recordName)
 		b.mu.Lock()
-		b.renewing, b.storeRead, b.storeOK = false, sent, err == nil
+		b.renewing, b.storeOK = false, err == nil
 		b.mu.Unlock()
 		if err != nil {
 			v.stats.StoreErrors.Add(1)
@@ -351,10 +373,12 @@
 func (b *beat) handle(p *packet, now time.Duration) {
 	switch p.Kind {
 	case packetBeat:
-		if a := b.vm.duty.beat(p, now); a != nil {
-			b.write(p.From.IP, a)
-		}
+		b.heartbeatOf(p, now)
 	case packetAnswer:
+		if p.Relay != "" && p.To != b.vm.Settings.IP {
+			b.forward(p.To, p)
+			return
+		}
 		b.answer(p, now)
 	case packetPoke:
 		if p.Record != nil {
@@ -379,6 +403,48 @@
 	}
 }
 
+// heartbeatOf answers another VM's heartbeat, or passes it on to the holder for a
+// VM that can't reach it. Its times are those of the two ends.
+func (b *beat) heartbeatOf(p *packet, now time.Duration) {
+	if a := b.vm.duty.beat(p, now); a != nil {
+		ip := p.From.IP
+		if p.Relay != "" {
+			ip = p.Relay
+		}
+		b.write(ip, a)
+		return
+	}
+	r := b.vm.lease.Load().Record
+	if p.Relay == "" && r.Addr != "" && r.Addr != b.vm.Settings.IP {
+		p.Relay = b.vm.Settings.IP
+		b.forward(r.Addr, p)
+	}
+}
+
+// contact notes that the holder is there.
+func (b *beat) contact(now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.answered = now
+}
+
+// relays sends a heartbeat through some other VMs, when the holder does not
+// answer the direct one.
+func (b *beat) relays(r *reign.Record, p *packet) {
+	list := b.vm.view.Load().Peers
+	n := 0
+	for _, i := range rand.Perm(len(list)) {
+		o := list[i]
+		if o.Name == b.vm.Settings.VM || o.Name == r.Holder {
+			continue
+		}
+		b.write(o.IP, p)
+		if n++; n == relayedThrough {
+			return
+		}
+	}
+}
+
 // answer takes the holder's answer to the heartbeat that was sent at p.Echo.
 func (b *beat) answer(p *packet, now time.Duration) {
 	v := b.vm
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -20,10 +20,10 @@
 	// dutyPeriod is how often the duty holder looks at its groups.
 	dutyPeriod = 100 * time.Millisecond
 	// confirmPeriod is how often it proves to itself that it still is the holder:
-	// twice within a lease, and once more for a call that fails.
-	confirmPeriod = 900 * time.Millisecond
+	// well within a lease, so that there is time left for promises when it fails.
+	confirmPeriod = 600 * time.Millisecond
 	// wantAfter is how long without such a proof it asks for promises.
-	wantAfter = 1300 * time.Millisecond
+	wantAfter = 950 * time.Millisecond
 	// memberPeriod is the least time between two changes of the members, so that
 	// VMs that start together come in together.
 	memberPeriod = 150 * time.Millisecond
@@ -253,6 +253,7 @@
 	}
 	d.refreshView(now)
 	v.takeView(&d.view)
+	v.beat.contact(now)
 }
 
 // closed reports whether shares that an earlier holder granted may be in use
@@ -301,7 +302,7 @@
 	a := &packet{
 		Kind: packetAnswer, Token: r.Token, Stamp: now, Echo: p.Stamp, Version: r.Version,
 		Lease: d.state.Lease(p.From.Name, now), Positions: make(map[string]position),
-		Want: now-d.state.Confirmed > wantAfter, Digest: v.targets.load().digest,
+		Relay: p.Relay, To: p.From.IP, Want: now-d.state.Confirmed > wantAfter, Digest: v.targets.load().digest,
 	}
 	if version != r.Version {
 		a.Record = &storedRecord{Record: r, Run: v.run}
@@ -407,11 +408,7 @@
 			d.start(name, func() { d.move(ctx, name, g, "taken over from an earlier holder") })
 			continue
 		}
-		var entry *pollendoor.TargetInfo
-		if t, ok := d.vm.targets.get(g.Primary); ok {
-			entry = &t
-		}
-		if cause := d.state.Suspect(name, entry, now); cause != reign.CauseNone {
+		if cause := d.state.Suspect(name, d.vm.targets.entry(g.Primary), now); cause != reign.CauseNone {
 			d.start(name, func() { d.replace(ctx, name, g, cause) })
 		}
 	}
--- a/fleet/move.go
+++ b/fleet/move.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,6 +15,9 @@
 const (
 	// statusTimeout bounds a control step at a target, its connection included.
 	statusTimeout = 800 * time.Millisecond
+	// lateTime is how long targets may answer behind the first one: some round
+	// trips between regions, and a place in a queue.
+	lateTime = 350 * time.Millisecond
 	// busyPause is the pause before a target that was busy is asked again.
 	busyPause = 60 * time.Millisecond
 	// statusTries bounds how often a busy target is asked.
@@ -66,24 +68,37 @@
 	return v.control(ctx, t, pollendoor.TargetConn.Status)
 }
 
-// statuses asks several targets at once and returns those that answered.
+// statuses asks several targets at once and returns those that answered. Once
+// one has, it waits only a little for the others: a dark one never answers.
 func (v *VM) statuses(ctx context.Context, list []pollendoor.TargetInfo) []reign.Candidate {
-	var mu sync.Mutex
-	var out []reign.Candidate
-	var wg sync.WaitGroup
+	answers := make(chan *reign.Candidate, len(list))
 	for _, t := range list {
-		wg.Go(func() {
+		go func() {
 			st, err := v.status(ctx, t)
 			if err != nil {
 				v.Log.Info().Err(err).Str("target", t.ID).Msg("no status")
+				answers <- nil
 				return
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			out = append(out, reign.Candidate{Target: t, Status: st})
-		})
+			answers <- &reign.Candidate{Target: t, Status: st}
+		}()
+	}
+	var out []reign.Candidate
+	var late <-chan time.Time
+	for range list {
+		select {
+		case c := <-answers:
+			if c == nil {
+				continue
+			}
+			out = append(out, *c)
+			if late == nil {
+				late = time.After(lateTime)
+			}
+		case <-late:
+			return out
+		}
 	}
-	wg.Wait()
 	return out
 }
 
--- a/fleet/targets.go
+++ b/fleet/targets.go
@@ -11,14 +11,16 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/reign"
 )
 
 // targets is the known targets. Readers see an immutable snapshot.
 type targets struct {
 	snap atomic.Pointer[targetSnap]
 
-	mu   sync.Mutex
-	gone map[string]time.Time // entries that have vanished, and when
+	mu     sync.Mutex
+	listed time.Time            // when the entries were first listed
+	gone   map[string]time.Time // entries that have vanished, and when
 }
 
 type targetSnap struct {
@@ -41,6 +43,22 @@
 	return i, ok
 }
 
+// entry returns what the platform's store says of a target.
+func (t *targets) entry(id string) reign.Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	i, ok := t.get(id)
+	since, missing := t.gone[id]
+	if !ok {
+		since, missing = t.listed, !t.listed.IsZero()
+	}
+	e := reign.Entry{Target: i}
+	if missing {
+		e.Missing = max(1, time.Since(since))
+	}
+	return e
+}
+
 // group returns the targets of a group by id.
 func (t *targets) group(name string) []pollendoor.TargetInfo { return t.load().byGroup[name] }
 
@@ -59,6 +77,9 @@
 	for id, i := range old {
 		next.byID[id] = i
 	}
+	if t.listed.IsZero() {
+		t.listed = time.Now()
+	}
 	if t.gone == nil {
 		t.gone = make(map[string]time.Time)
 	}
--- a/reign/duty.go
+++ b/reign/duty.go
@@ -15,7 +15,10 @@
 	fresh = 1200 * time.Millisecond
 	// doubtTime is how long nobody has reached a primary before it is replaced:
 	// longer than its longest statement, and three of its probes.
-	doubtTime = 900 * time.Millisecond
+	doubtTime = 700 * time.Millisecond
+	// missingTime is how long a primary's entry is missing before it is taken to
+	// have left: entries that lapsed in an outage of the store come back.
+	missingTime = 2500 * time.Millisecond
 	// refusedTime is the same for a primary that refuses connections.
 	refusedTime = 350 * time.Millisecond
 )
@@ -201,14 +204,20 @@
 	CauseReborn   Cause = "the primary started anew without its log"
 )
 
+// Entry is what the platform's store says of a target.
+type Entry struct {
+	Target  pollendoor.TargetInfo
+	Missing time.Duration // how long the store that answers has had no entry
+}
+
 // Suspect decides whether a group's primary is to be replaced, from what the
-// members report and from its entry in the platform's store, nil if it has none.
-func (d *Duty) Suspect(group string, entry *pollendoor.TargetInfo, now time.Duration) Cause {
+// members report and from its entry in the platform's store.
+func (d *Duty) Suspect(group string, entry Entry, now time.Duration) Cause {
 	g, ok := d.Record.Groups[group]
 	if !ok || g.Moving {
 		return CauseNone
 	}
-	if entry != nil && entry.Draining {
+	if entry.Missing == 0 && entry.Target.Draining {
 		return CauseDraining
 	}
 	var lastOK time.Duration
@@ -233,7 +242,7 @@
 		return CauseRefused
 	case failing && silent > doubtTime:
 		return CauseSilent
-	case entry == nil && silent > doubtTime:
+	case entry.Missing > missingTime && silent > doubtTime:
 		return CauseGone
 	}
 	return CauseNone
--- a/share/bucket.go
+++ b/share/bucket.go
@@ -9,7 +9,7 @@
 )
 
 // demandTime is the time constant of the moving average of demand.
-const demandTime = 2 * time.Second
+const demandTime = 1500 * time.Millisecond
 
 // Slack is what may be admitted beyond rate and burst, over all VMs, without
 // breaking the limit: a part of the allowance of a window, and a number.
