share: the burst of a window is spread over it

Cause: a team at its limit was held to its rate, where the limit is one on each window, rate and burst together.

--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -125,8 +125,9 @@
 		v.Log.Error().Err(err).Str("source", source).Msg("configuration refused, the one before stays in force")
 		return
 	}
+	var old *configVersion
 	for {
-		old := v.config.Load()
+		old = v.config.Load()
 		if old != nil && old.Version >= c.Version {
 			return
 		}
@@ -134,6 +135,7 @@
 			break
 		}
 	}
+	v.logLimits(old, c)
 	v.buckets.Know(c.Teams, clock.Now())
 	v.homes.refresh()
 	v.Log.Info().Uint64("version", c.Version).Str("source", source).
@@ -143,6 +145,19 @@
 	}
 }
 
+// logLimits logs the teams whose limits a configuration changes.
+func (v *VM) logLimits(old *configVersion, c *pollendoor.Config) {
+	if old == nil {
+		return
+	}
+	for name, l := range c.Teams {
+		if was, ok := old.Teams[name]; ok && was != l {
+			v.Log.Info().Str("team", name).Float64("rate", l.Rate).Float64("burst", l.Burst).
+				Float64("rateBefore", was.Rate).Uint64("version", c.Version).Msg("team's limit changed")
+		}
+	}
+}
+
 func (v *VM) watchTargets(ctx context.Context) { v.follow(ctx, &v.entries) }
 
 // targetsFollower returns the follower of the targets' entries.
--- a/share/bucket.go
+++ b/share/bucket.go
@@ -26,6 +26,9 @@
 const (
 	// bareSlack is the part of the slack that VMs without a share use.
 	bareSlack = 0.3
+	// burstKept is the part of a team's burst that may come at once; the rest is
+	// spread over the window.
+	burstKept = 0.3
 	// burstSlack is the part of the slack that enlarges the burst, which is
 	// divided among many VMs.
 	burstSlack = 0.6
@@ -47,7 +50,23 @@
 }
 
 // burst returns the operations that a whole share may admit at once.
-func (s Slack) burst(l pollendoor.TeamLimit) float64 { return l.Burst + burstSlack*s.whole(l) }
+func (s Slack) burst(l pollendoor.TeamLimit) float64 {
+	kept := burstKept
+	if s.Window <= 0 {
+		kept = 1
+	}
+	return kept*l.Burst + burstSlack*s.whole(l)
+}
+
+// steady returns the operations a second that a whole share admits for good. The
+// limit is one on each window, rate and burst together: a bucket that kept the
+// whole burst back would refuse a steady team what the window has room for.
+func (s Slack) steady(l pollendoor.TeamLimit) float64 {
+	if s.Window <= 0 {
+		return l.Rate
+	}
+	return l.Rate + (1-burstKept)*l.Burst/s.Window.Seconds()
+}
 
 // bucket is one team's tokens at a VM.
 type bucket struct {
@@ -96,7 +115,7 @@
 	bareRate := k.rate(l, n)
 	shared := max(0, min(now, t.until)-t.filled)
 	bare := max(0, now-max(t.filled, t.until))
-	t.tokens += shared.Seconds()*max(l.Rate*t.share, bareRate) + bare.Seconds()*bareRate
+	t.tokens += shared.Seconds()*max(k.steady(l)*t.share, bareRate) + bare.Seconds()*bareRate
 	most := max(1, bareRate)
 	if now < t.until {
 		most = max(most, k.burst(l)*t.share)
@@ -121,7 +140,7 @@
 	}
 	rate := b.slack.rate(l, b.peers)
 	if now < t.until {
-		rate = max(rate, l.Rate*t.share)
+		rate = max(rate, b.slack.steady(l)*t.share)
 	}
 	if rate <= 0 {
 		return 0, false
--- a/share/pool.go
+++ b/share/pool.go
@@ -121,7 +121,8 @@
 		want = whole * (even/float64(max(1, live)) + (1-even)*own.demand/demand)
 	}
 	current := own.outstanding(now)
-	if d := want - current; d < step && d > -step && current > 0 && current+others <= whole {
+	sum := current + others
+	if d := want - current; d < step && d > -step && sum <= whole && sum > whole-step {
 		return current
 	}
 	return max(0, min(want, whole-others))
