--- a/caller/choose.go
+++ b/caller/choose.go
@@ -16,8 +16,6 @@
 	zoneCost = 20 * time.Millisecond
 	// primaryCost keeps reads off the primary, which has writes to serve.
 	primaryCost = 15 * time.Millisecond
-	// behindCost keeps reads off a replica that lagged a moment ago.
-	behindCost = 2 * time.Second
 )
 
 // place is a target for a read, with the position that its log must hold.
@@ -28,6 +26,8 @@
 }
 
 // rank orders the targets for a read that any of them may serve, the best first.
+// Replicas that lagged a moment ago are left out: the primary is there, and once
+// in a while a read finds out whether they have caught up.
 func rank(list []pollendoor.ReadTarget, lead string, after pollendoor.Position) []place {
 	cost := func(r pollendoor.ReadTarget) time.Duration {
 		d := r.Delay
@@ -40,11 +40,9 @@
 		if r.Target.ID == lead {
 			d += primaryCost
 		}
-		if r.Behind {
-			d += behindCost
-		}
 		return d
 	}
+	list = slices.DeleteFunc(slices.Clone(list), func(r pollendoor.ReadTarget) bool { return r.Behind })
 	slices.SortStableFunc(list, func(a, b pollendoor.ReadTarget) int { return cmp.Compare(cost(a), cost(b)) })
 	out := make([]place, 0, len(list))
 	for _, r := range list {
--- a/caller/operation.go
+++ b/caller/operation.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/pollendoor/pollendoor"
@@ -20,6 +21,11 @@
 	// readShare is the part of the time left that a read gives one target while
 	// others could serve it.
 	readShare = 0.6
+	// moveShare is the part of the goal that a statement waits for a primary which
+	// is being replaced, and queueShare that for a place in a target's queue. A
+	// longer queue serves no more callers and refuses the others later.
+	moveShare  = 0.5
+	queueShare = 0.25
 	// leastTime is the time below which no further attempt is worth it.
 	leastTime = 20 * time.Millisecond
 )
@@ -37,14 +43,18 @@
 
 func (o *operation) left() time.Duration { return o.route.Timeout - (clock.Now() - o.start) }
 
-// patience is how long the statement may still wait to be offered to a target:
-// until an answer would miss the goal of the route.
-func (o *operation) patience() time.Duration {
-	goal := o.route.Goal
-	if goal <= 0 || goal > o.route.Timeout {
-		goal = o.route.Timeout
+// goal is the time within which the statement should be answered.
+func (o *operation) goal() time.Duration {
+	if o.route.Goal <= 0 || o.route.Goal > o.route.Timeout {
+		return o.route.Timeout
 	}
-	return goal*3/4 - (clock.Now() - o.start)
+	return o.route.Goal
+}
+
+// patience is how long the statement may still wait for a primary that is being
+// replaced.
+func (o *operation) patience() time.Duration {
+	return time.Duration(moveShare*float64(o.goal())) - (clock.Now() - o.start)
 }
 
 // single runs a statement outside a transaction.
@@ -94,7 +104,7 @@
 	if !w.Write && o.decision.Attempts == 1 && !o.session.open.Load() {
 		w.Timeout = time.Duration(float64(w.Timeout) * readShare)
 	}
-	w.MaxWait = max(leastTime, min(o.patience(), w.Timeout))
+	w.MaxWait = max(leastTime, min(time.Duration(queueShare*float64(o.goal())), w.Timeout))
 	return o.session.cluster.Open(p.target, o.team)
 }
 
@@ -155,6 +165,9 @@
 	if r.Code == pollendoor.ErrLagging {
 		c.Lagged(p.target.ID)
 	}
+	if r.Code != "" || r.Lost {
+		o.decision.Tried = append(o.decision.Tried, p.target.ID+" "+cmp.Or(string(r.Code), "lost"))
+	}
 	if leased && (r.Code == pollendoor.ErrReadOnly || r.Code == pollendoor.ErrMisrouted) {
 		o.useless = epoch
 	}
--- a/cluster.go
+++ b/cluster.go
@@ -76,6 +76,7 @@
 	After     Position      // that the log had to hold
 	SampleAge time.Duration // of that position
 	Attempts  int
+	Tried     []string // targets that were offered the statement before, with their codes
 	Took      time.Duration
 	Replica   bool
 }
--- a/fleet/cluster.go
+++ b/fleet/cluster.go
@@ -9,8 +9,19 @@
 
 var _ pollendoor.Cluster = (*VM)(nil)
 
-// behindTime is how long a target that lacked a position counts as behind.
-const behindTime = 400 * time.Millisecond
+const (
+	// behindTime is how long a target that lacked a position counts as behind the
+	// first time. It doubles each time that the target still lacks one.
+	behindTime = 200 * time.Millisecond
+	// behindMost is the longest such time.
+	behindMost = 1600 * time.Millisecond
+)
+
+// lag is what is known of a target that lacked a position.
+type lag struct {
+	until time.Duration
+	next  time.Duration // how long it counts as behind the next time
+}
 
 // Config returns the configuration in force.
 func (v *VM) Config() *pollendoor.Config {
@@ -76,7 +87,7 @@
 		}
 		r := pollendoor.ReadTarget{Target: t, Distance: v.distance(t.Zone), Delay: v.homes.delay(t.ID, now)}
 		if until, ok := v.lags.Load(t.ID); ok {
-			r.Behind = now < until.(time.Duration)
+			r.Behind = now < until.(lag).until
 		}
 		out = append(out, r)
 	}
@@ -96,7 +107,18 @@
 // Lagged notes that a target lacked a position.
 func (v *VM) Lagged(target string) {
 	v.stats.Lagging.Add(1)
-	v.lags.Store(target, clock.Now()+behindTime)
+	now := clock.Now()
+	l := lag{next: behindTime}
+	if old, ok := v.lags.Load(target); ok {
+		l = old.(lag)
+		if now < l.until {
+			return // another statement was on its way there
+		}
+		if now-l.until > behindMost {
+			l.next = behindTime
+		}
+	}
+	v.lags.Store(target, lag{until: now + l.next, next: min(2*l.next, behindMost)})
 }
 
 // Open returns a turn at a target.
--- a/fleet/decided.go
+++ b/fleet/decided.go
@@ -61,6 +61,9 @@
 	if !d.After.IsZero() {
 		e = e.Stringer("after", d.After).Dur("sampleAge", d.SampleAge)
 	}
+	if len(d.Tried) > 0 {
+		e = e.Strs("tried", d.Tried)
+	}
 	if d.Outcome != "" {
 		e = e.Str("outcome", string(d.Outcome)).Str("cause", d.Cause)
 	} else {
--- a/fleet/vm.go
+++ b/fleet/vm.go
@@ -70,7 +70,7 @@
 	view  atomic.Pointer[view]
 	rings sync.Map // *sample.Ring by group
 	fates sync.Map // *fate by group
-	lags  sync.Map // time.Duration until which a target counts as behind, by id
+	lags  sync.Map // lag by target id
 }
 
 // configVersion is a configuration with its text, for other VMs.
