fleet: shares of rates settle faster after a start

Cause: after all VMs had lost power, the first VM to report got a team's whole rate and the others none, until two heartbeats later; callers within their rate were refused for 2 s. Ruled out: configuration, holder and leases, all there 0.2 s after the start.

--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -23,6 +23,8 @@
 	// beatPeriod is the time between heartbeats of a VM: several fit into a
 	// lease, and their samples stay young against the staleness of reads.
 	beatPeriod = 400 * time.Millisecond
+	// settlePeriod is the same after a start or a change of the holder.
+	settlePeriod = 120 * time.Millisecond
 	// selfLeaseAfter is how long the holder is silent before a VM asks the store
 	// itself whether its record still stands.
 	selfLeaseAfter = 900 * time.Millisecond
@@ -111,6 +113,7 @@
 	mu        sync.Mutex
 	answered  time.Duration // arrival of the holder's last answer
 	started   time.Duration
+	changed   time.Duration // when the holder changed
 	stamp     stamp         // of that answer
 	noClaim   time.Duration // until then this VM has promised not to claim
 	told      map[string]tell
@@ -194,7 +197,8 @@
 // send sends heartbeats until ctx ends.
 func (b *beat) send(ctx context.Context) {
 	for ctx.Err() == nil {
-		t := time.NewTimer(beatPeriod - beatPeriod/8 + rand.N(beatPeriod/4))
+		d := b.period(clock.Now())
+		t := time.NewTimer(d - d/8 + rand.N(d/4))
 		select {
 		case <-ctx.Done():
 		case <-t.C:
@@ -205,6 +209,17 @@
 	}
 }
 
+// period returns the time to the next heartbeat. After a start, or a change of
+// the holder, shares have to find their places.
+func (b *beat) period(now time.Duration) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now < b.changed+settleTime*2 {
+		return settlePeriod
+	}
+	return beatPeriod
+}
+
 // once sends one heartbeat, or acts on the silence of the holder.
 func (b *beat) once(ctx context.Context) {
 	v := b.vm
@@ -421,6 +436,13 @@
 	}
 }
 
+// newHolder notes that another VM holds the duty. Its silence counts from now.
+func (b *beat) newHolder(now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.answered, b.changed = now, now
+}
+
 // contact notes that the holder is there.
 func (b *beat) contact(now time.Duration) {
 	b.mu.Lock()
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -27,6 +27,8 @@
 	// memberPeriod is the least time between two changes of the members, so that
 	// VMs that start together come in together.
 	memberPeriod = 150 * time.Millisecond
+	// settleTime is how long after a claim VMs are still coming in.
+	settleTime = time.Second
 	// maxMoves bounds the promotions at a time.
 	maxMoves = 8
 )
@@ -245,8 +247,7 @@
 	if v.shareToken() != d.state.Record.Token {
 		seq = 0
 	}
-	live := len(d.state.Live(now))
-	shares, seq := d.pool.Renew(share.Report{VM: v.Settings.VM, Run: v.run, Seq: seq, Held: held}, live, d.closed(now), now)
+	shares, seq := d.pool.Renew(share.Report{VM: v.Settings.VM, Run: v.run, Seq: seq, Held: held}, d.sharers(now), d.closed(now), now)
 	if c := v.Config(); c != nil {
 		v.setShareToken(d.state.Record.Token)
 		v.buckets.Adopt(shares, seq, c.Teams, now, now)
@@ -262,6 +263,16 @@
 	return !d.state.Complete() && now < d.state.Claimed+share.Life
 }
 
+// sharers returns how many VMs share the teams' rates. Just after a claim not all
+// of them have been heard.
+func (d *duty) sharers(now time.Duration) int {
+	n := len(d.state.Live(now))
+	if now < d.state.Claimed+settleTime {
+		n = max(n, len(d.state.Record.Members))
+	}
+	return n
+}
+
 // refreshView follows the VMs that are heard.
 func (d *duty) refreshView(now time.Duration) {
 	list := make([]peer, 0, len(d.peers))
@@ -324,7 +335,7 @@
 			a.Positions[name] = position{Since: s.Since - now, Term: s.Position.Term, Index: s.Position.Index}
 		}
 	}
-	a.Shares, a.ShareSeq = d.pool.Renew(share.Report{VM: p.From.Name, Run: p.Run, Seq: p.ShareSeq, Held: p.Held}, len(d.view.Peers), d.closed(now), now)
+	a.Shares, a.ShareSeq = d.pool.Renew(share.Report{VM: p.From.Name, Run: p.Run, Seq: p.ShareSeq, Held: p.Held}, d.sharers(now), d.closed(now), now)
 	return a
 }
 
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -279,7 +279,7 @@
 // recordChanged logs what a new record changes.
 func (v *VM) recordChanged(old, r reign.Record, source string) {
 	if old.Token != r.Token {
-		v.beat.contact(clock.Now()) // the new holder's silence counts from now
+		v.beat.newHolder(clock.Now())
 		v.Log.Info().Str("holder", r.Holder).Uint64("token", r.Token).Uint64("version", r.Version).Str("source", source).Msg("duty holder changed")
 	}
 	for name, g := range r.Groups {
