broker, share: fewer connections of a home, waits at a connection limit, longer waits for tokens

Cause: after a loss of power the connections of the dead VMs linger for 3 s and the new homes were refused (CONNLIMIT); callers that all come back at once were refused within their team's rate.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -19,9 +19,9 @@
 const (
 	// dialTimeout bounds connection and handshake.
 	dialTimeout = 700 * time.Millisecond
-	// limitPause is how long no connection is opened after the target refused
-	// one for their number.
-	limitPause = 150 * time.Millisecond
+	// limitPause is how long the number of connections does not grow after the
+	// target refused one for their number.
+	limitPause = 400 * time.Millisecond
 	// darkPause is how long work is refused after the target was unreachable.
 	darkPause = 250 * time.Millisecond
 	// stepTimeout bounds statements of the system that occupy no slot.
@@ -55,7 +55,8 @@
 	waiting waiters
 	seq     uint64
 	service time.Duration // moving average of a statement's time at the target
-	full    time.Time     // until then no connection is opened
+	full    time.Time     // until then there are at most this many connections:
+	most    int
 	dark    time.Time     // until then work is refused
 	closed  bool
 }
@@ -230,10 +231,7 @@
 		l.Close()
 		b.open--
 	}
-	if time.Now().Before(b.full) && b.open > 0 {
-		return grant{}, false
-	}
-	if b.open >= b.budget {
+	if b.open >= b.limit(time.Now()) {
 		if len(b.idle) == 0 {
 			return grant{}, false
 		}
@@ -245,6 +243,15 @@
 	return grant{dial: true}, true
 }
 
+// limit returns how many connections there may be. After the target has refused
+// one for their number, it is those that there are.
+func (b *Broker) limit(now time.Time) int {
+	if now.Before(b.full) {
+		return max(1, min(b.budget, b.most))
+	}
+	return b.budget
+}
+
 // leave gives a slot back.
 func (b *Broker) leave(took time.Duration) {
 	b.mu.Lock()
@@ -300,7 +307,7 @@
 	b.open--
 	if errors.As(err, &refused) {
 		r.Code = refused.Code
-		b.full = time.Now().Add(limitPause)
+		b.full, b.most = time.Now().Add(limitPause), b.open
 	} else {
 		r.Lost = true
 		b.dark = time.Now().Add(darkPause)
--- a/broker/turn.go
+++ b/broker/turn.go
@@ -22,33 +22,50 @@
 	b := t.broker
 	deadline := time.Now().Add(w.Timeout)
 	pinned := t.link != nil
-	g, code := b.enter(t, w)
-	if code != "" {
+	l, refused := t.enter(w)
+	if l == nil {
 		if pinned {
 			t.Close()
 		}
-		return pollendoor.Reply{Code: code, Text: "no slot in time", State: endState(pinned), Delay: b.Delay()}
-	}
-	if g.dial {
-		l, refused := b.dial(t.team)
-		if l == nil {
-			b.leave(0)
-			refused.State = 'I'
-			return refused
-		}
-		g.link = l
+		refused.State, refused.Delay = endState(pinned), b.Delay()
+		return refused
 	}
 	start, sent := time.Now(), clock.Now()
-	r := t.run(g.link, w, pinned, deadline)
+	r := t.run(l, w, pinned, deadline)
 	b.leave(time.Since(start))
 	r.Delay = b.Delay()
 	if b.Observe != nil {
 		b.Observe(b.Target(), r, sent)
 	}
-	t.settle(g.link, &r)
+	t.settle(l, &r)
 	return r
 }
 
+// enter waits for a slot with a connection. When the target refuses one more
+// connection, the statement waits for one of those that there are.
+func (t *Turn) enter(w *pollendoor.Work) (*link, pollendoor.Reply) {
+	b := t.broker
+	wait := *w
+	for until := time.Now().Add(w.MaxWait); ; {
+		g, code := b.enter(t, &wait)
+		if code != "" {
+			return nil, pollendoor.Reply{Code: code, Text: "no slot in time"}
+		}
+		if !g.dial {
+			return g.link, pollendoor.Reply{}
+		}
+		l, refused := b.dial(t.team)
+		if l != nil {
+			return l, refused
+		}
+		b.leave(0)
+		wait.MaxWait = time.Until(until)
+		if refused.Code != pollendoor.ErrConnLimit || wait.MaxWait <= 0 {
+			return nil, refused
+		}
+	}
+}
+
 func endState(pinned bool) byte {
 	if pinned {
 		return 'E'
--- a/fleet/homes.go
+++ b/fleet/homes.go
@@ -16,9 +16,10 @@
 
 const (
 	// homeShare is the part of a target's connections that its home opens. The
-	// rest is for the VM that takes its place, while the connections of the first
-	// linger, and for those that reach the target when the home doesn't.
-	homeShare = 0.75
+	// rest is for the VM that takes its place while the connections of the first
+	// linger (also for all VMs that start anew after a loss of power), and for
+	// those that reach the target when the home doesn't.
+	homeShare = 0.55
 	// guestConnections is what a VM opens to a target whose home it is not.
 	guestConnections = 2
 	// extraSlots keeps a target busy while an answer and the next statement are
--- a/share/bucket.go
+++ b/share/bucket.go
@@ -21,7 +21,7 @@
 
 // MaxWait is the longest that an operation waits for its token instead of being
 // refused. Small shares fill slowly, and callers come in clusters.
-const MaxWait = 250 * time.Millisecond
+const MaxWait = 400 * time.Millisecond
 
 const (
 	// bareSlack is the part of the slack that VMs without a share use.
