--- a/broker/broker.go
+++ b/broker/broker.go
@@ -57,7 +57,7 @@
 	service time.Duration // moving average of a statement's time at the target
 	full    time.Time     // until then there are at most this many connections:
 	most    int
-	dark    time.Time     // until then work is refused
+	dark    time.Time // until then work is refused
 	closed  bool
 }
 
--- a/cmd/pollenvm/serve.go
+++ b/cmd/pollenvm/serve.go
@@ -60,7 +60,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	vm := &fleet.VM{Settings: set, Log: log, Platform: connect(set, log)}
+	vm := &fleet.VM{Settings: set, Log: log, Platform: platform.Connect(set.Store, set.Cloud, log)}
 	front := &platform.Front{
 		Sessions: caller.Sessions{Cluster: vm}, Log: log,
 		TxIdle: func() time.Duration {
@@ -103,16 +103,6 @@
 	return nil
 }
 
-// connect returns the way to the platform.
-func connect(set fleet.Settings, log zerolog.Logger) fleet.Platform {
-	return fleet.Platform{
-		Store: platform.NewStore(set.Store, log), Dial: platform.Dial,
-		Promote: platform.NewCloud(set.Cloud).Promote, PromoteTime: platform.PromoteTimeout,
-		ConfigKind: platform.ConfigKind, ConfigName: platform.ConfigName, DecodeConfig: platform.DecodeConfig,
-		TargetsKind: platform.TargetsKind, DecodeTarget: platform.DecodeTarget, ReturnTime: platform.ReturnTime(),
-	}
-}
-
 // drain ends the sessions: idle ones now, those in a transaction when it ends or
 // after half of the grace period.
 func drain(front *platform.Front, grace time.Duration) {
--- a/fleet/vm.go
+++ b/fleet/vm.go
@@ -143,7 +143,7 @@
 
 // contactLoss is how long a VM without a lease still counts as ready: a change
 // of the duty holder must not take the whole fleet out of rotation.
-const contactLoss = 3500 * time.Millisecond
+const contactLoss = 1500 * time.Millisecond
 
 // Ready reports whether the VM can serve callers.
 func (v *VM) Ready() bool {
