fleet: one watcher of the store for each zone, no watch of the record

Others now hear of news from their zone's watcher and catch up from it; the record comes from the duty holder.

--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -60,6 +60,7 @@
 	packetPoke                         // the holder tells its record and asks for a heartbeat now
 	packetAsk                          // a VM asks another whether it hears the holder
 	packetTell                         // its answer
+	packetNews                         // a zone's watcher has learned something
 )
 
 // position is a sample in a datagram. Since is counted from the echoed stamp's
@@ -124,7 +125,8 @@
 	storeOK   bool                     // it succeeded
 	differs   time.Duration            // since when the holder knows other targets, zero if not
 	renewing  bool
-	fetching  bool
+	fetching  bool // a configuration from another VM
+	listing   bool // targets from another VM
 }
 
 // stamp is a time on the clock of one holder. It means nothing to another one:
@@ -408,6 +410,8 @@
 			age = 0
 		}
 		b.write(p.From.IP, &packet{Kind: packetTell, Token: b.vm.lease.Load().Record.Token, Echo: p.Stamp, Age: age})
+	case packetNews:
+		b.compare(p.From, p.Config, p.Digest, now)
 	case packetTell:
 		b.mu.Lock()
 		if b.told == nil {
@@ -506,60 +510,118 @@
 	for name, s := range p.Positions {
 		v.ring(name).Add(sample.Sample{Since: p.Echo + s.Since, Position: pollendoor.Position{Term: s.Term, Index: s.Index}})
 	}
-	b.compareTargets(p.Digest, now)
-	if c := v.config.Load(); p.Config > 0 && (c == nil || c.Version < p.Config) {
-		b.fetchConfig(p.From, p.Config)
-	}
+	b.compare(p.From, p.Config, p.Digest, now)
 }
 
-// compareTargets lists the targets anew if the holder has known others for a
-// while.
-func (b *beat) compareTargets(digest uint64, now time.Duration) {
-	if digest == b.vm.targets.load().digest {
+// compare catches up with another VM that knows a newer configuration or other
+// targets. A VM that watches the store gives its watch some time first.
+func (b *beat) compare(from peer, config, digest uint64, now time.Duration) {
+	v := b.vm
+	c := v.config.Load()
+	if config > 0 && (c == nil || c.Version < config) && b.start(&b.fetching) {
+		go b.catchUpConfig(from, config)
+	}
+	if digest == 0 || digest == v.targets.load().digest {
+		b.mu.Lock()
 		b.differs = 0
+		b.mu.Unlock()
 		return
 	}
+	b.mu.Lock()
 	if b.differs == 0 {
 		b.differs = now
 	}
-	if now-b.differs > differPatience {
-		b.differs = 0
-		b.vm.entries.nudge()
+	late := now-b.differs > differPatience
+	b.mu.Unlock()
+	if late && v.watches() {
+		v.entries.nudge()
+	} else if (late || !v.watches()) && b.start(&b.listing) {
+		go b.catchUpTargets(from)
 	}
 }
 
-// silent reports whether the holder has not answered for a while.
-func (b *beat) silent() bool {
+// start marks work as under way. It reports false if it is already.
+func (b *beat) start(busy *bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return clock.Now()-max(b.answered, b.started) > selfLeaseAfter
+	was := *busy
+	*busy = true
+	return !was
 }
 
-// fetchConfig takes the configuration over from another VM that has a newer one.
-func (b *beat) fetchConfig(from peer, version uint64) {
+func (b *beat) done(busy *bool) {
 	b.mu.Lock()
-	busy := b.fetching
-	b.fetching = true
-	b.mu.Unlock()
-	if busy {
-		return
+	defer b.mu.Unlock()
+	*busy = false
+}
+
+// sources returns the VMs to catch up from: the zone's watcher, which costs
+// nothing, and the one that is known to be ahead.
+func (b *beat) sources(from peer) []peer {
+	list := []peer{from}
+	if w, ok := watcherOf(b.vm.view.Load(), b.vm.Settings.Zone); ok && w != from && w != b.vm.self() {
+		list = []peer{w, from}
 	}
-	go func() {
-		defer func() {
-			b.mu.Lock()
-			b.fetching = false
-			b.mu.Unlock()
-		}()
-		// The watch brings it as well, most of the time.
+	return list
+}
+
+// catchUpConfig takes a configuration over from another VM.
+func (b *beat) catchUpConfig(from peer, version uint64) {
+	defer b.done(&b.fetching)
+	v := b.vm
+	if v.watches() {
 		time.Sleep(configPatience)
-		if c := b.vm.config.Load(); c != nil && c.Version >= version {
+	}
+	for _, p := range b.sources(from) {
+		if c := v.config.Load(); c != nil && c.Version >= version {
 			return
 		}
-		raw, err := b.vm.lanes.fetchConfig(from)
-		if err != nil || raw == nil {
-			b.vm.Log.Warn().Err(err).Str("peer", from.Name).Msg("configuration not fetched from another VM")
-			return
+		r, err := v.lanes.ask(p, call{Config: true})
+		if err != nil || r.Config == nil {
+			v.Log.Warn().Err(err).Str("peer", p.Name).Msg("configuration not fetched from another VM")
+			continue
 		}
-		b.vm.takeConfig(raw, from.Name)
-	}()
+		v.takeConfig(r.Config, p.Name)
+	}
+}
+
+// catchUpTargets takes the targets over from another VM.
+func (b *beat) catchUpTargets(from peer) {
+	defer b.done(&b.listing)
+	list := b.sources(from)
+	b.mu.Lock()
+	if b.differs > 0 && clock.Now()-b.differs > differPatience {
+		list = []peer{from} // the watcher does not know them either
+	}
+	b.mu.Unlock()
+	r, err := b.vm.lanes.ask(list[0], call{Targets: true})
+	if err != nil || len(r.Targets) == 0 {
+		b.vm.Log.Warn().Err(err).Str("peer", list[0].Name).Msg("targets not fetched from another VM")
+		return
+	}
+	b.vm.takeTargets(r.Targets)
+}
+
+// news tells the VMs of the zone that its watcher has learned something.
+func (b *beat) news() {
+	v := b.vm
+	if b.conn == nil || !v.watches() {
+		return
+	}
+	p := &packet{Kind: packetNews, Digest: v.targets.load().digest}
+	if c := v.config.Load(); c != nil {
+		p.Config = c.Version
+	}
+	for _, o := range v.view.Load().Peers {
+		if o.Zone == v.Settings.Zone && o.Name != v.Settings.VM {
+			b.write(o.IP, p)
+		}
+	}
+}
+
+// silent reports whether the holder has not answered for a while.
+func (b *beat) silent() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return clock.Now()-max(b.answered, b.started) > selfLeaseAfter
 }
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -460,7 +460,13 @@
 		return
 	}
 	n := *w
+	watched := v.watches()
 	v.view.Store(&n)
+	if watched && !v.watches() {
+		// Another VM watches the store for this zone from now on.
+		v.configs.nudge()
+		v.entries.nudge()
+	}
 	v.buckets.Configure(share.Slack{
 		Window: time.Duration(v.Settings.QuotaWindowS * float64(time.Second)),
 		Excess: v.Settings.QuotaExcess, Margin: v.Settings.QuotaMargin,
--- a/fleet/lanes.go
+++ b/fleet/lanes.go
@@ -21,6 +21,8 @@
 	// laneSlack is how much later than the target's answer that of its home may
 	// come.
 	laneSlack = 100 * time.Millisecond
+	// askTimeout bounds a question to another VM.
+	askTimeout = time.Second
 	// idleLanes bounds the idle lanes to one VM.
 	idleLanes = 24
 	// laneBuffer is the buffer of a lane, in bytes.
@@ -32,16 +34,18 @@
 )
 
 // call is one request on a lane: work, the end of a turn, or a question for the
-// configuration.
+// configuration or the targets.
 type call struct {
-	Work   *pollendoor.Work `cbor:"1,keyasint,omitempty"`
-	Config bool             `cbor:"2,keyasint,omitempty"`
+	Work    *pollendoor.Work `cbor:"1,keyasint,omitempty"`
+	Config  bool             `cbor:"2,keyasint,omitempty"`
+	Targets bool             `cbor:"3,keyasint,omitempty"`
 }
 
 // result is the answer to a call.
 type result struct {
-	Reply  *pollendoor.Reply `cbor:"1,keyasint,omitempty"`
-	Config []byte            `cbor:"2,keyasint,omitempty"`
+	Reply   *pollendoor.Reply       `cbor:"1,keyasint,omitempty"`
+	Config  []byte                  `cbor:"2,keyasint,omitempty"`
+	Targets []pollendoor.TargetInfo `cbor:"3,keyasint,omitempty"`
 }
 
 // lanes are the TCP connections between VMs. Each carries one turn at a time.
@@ -232,6 +236,8 @@
 			if v := s.vm.config.Load(); v != nil {
 				out.Config = v.raw
 			}
+		case in.Targets:
+			out.Targets = s.vm.targets.listed()
 		default:
 			if current != nil {
 				current.Close()
@@ -262,23 +268,23 @@
 	return r
 }
 
-// fetchConfig asks another VM for its configuration.
-func (s *lanes) fetchConfig(p peer) ([]byte, error) {
+// ask asks another VM a question beside the work.
+func (s *lanes) ask(p peer, c call) (result, error) {
 	l, err := s.take(p)
 	if err != nil {
-		return nil, err
+		return result{}, err
 	}
-	l.conn.SetDeadline(time.Now().Add(time.Second))
+	l.conn.SetDeadline(time.Now().Add(askTimeout))
 	var r result
-	if err = l.send(call{Config: true}); err == nil {
+	if err = l.send(c); err == nil {
 		err = l.dec.Decode(&r)
 	}
 	if err != nil {
 		l.conn.Close()
-		return nil, errors.Wrap(err, "configuration of another VM")
+		return result{}, errors.Wrap(err, "question to another VM")
 	}
 	l.Close()
-	return r.Config, nil
+	return r, nil
 }
 
 // close ends all lanes.
--- a/fleet/targets.go
+++ b/fleet/targets.go
@@ -18,9 +18,9 @@
 type targets struct {
 	snap atomic.Pointer[targetSnap]
 
-	mu     sync.Mutex
-	listed time.Time            // when the entries were first listed
-	gone   map[string]time.Time // entries that have vanished, and when
+	mu    sync.Mutex
+	first time.Time            // when the entries were first listed
+	gone  map[string]time.Time // entries that have vanished, and when
 }
 
 type targetSnap struct {
@@ -50,7 +50,7 @@
 	i, ok := t.get(id)
 	since, missing := t.gone[id]
 	if !ok {
-		since, missing = t.listed, !t.listed.IsZero()
+		since, missing = t.first, !t.first.IsZero()
 	}
 	e := reign.Entry{Target: i}
 	if missing {
@@ -62,8 +62,18 @@
 // group returns the targets of a group by id.
 func (t *targets) group(name string) []pollendoor.TargetInfo { return t.load().byGroup[name] }
 
-// all returns every target.
-func (t *targets) all() map[string]pollendoor.TargetInfo { return t.load().byID }
+// listed returns the targets whose entries are there.
+func (t *targets) listed() []pollendoor.TargetInfo {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []pollendoor.TargetInfo
+	for id, i := range t.load().byID {
+		if _, ok := t.gone[id]; !ok {
+			list = append(list, i)
+		}
+	}
+	return list
+}
 
 // update changes the set of targets.
 func (t *targets) update(change func(byID map[string]pollendoor.TargetInfo, gone map[string]time.Time)) {
@@ -77,8 +87,8 @@
 	for id, i := range old {
 		next.byID[id] = i
 	}
-	if t.listed.IsZero() {
-		t.listed = time.Now()
+	if t.first.IsZero() {
+		t.first = time.Now()
 	}
 	if t.gone == nil {
 		t.gone = make(map[string]time.Time)
--- a/fleet/vm.go
+++ b/fleet/vm.go
@@ -54,6 +54,7 @@
 	config    atomic.Pointer[configVersion]
 	targets   targets
 	entries   follower // of the targets' entries
+	configs   follower // of the configuration
 	buckets   share.Buckets
 	homes     homes
 	lanes     lanes
@@ -111,7 +112,7 @@
 		Window: time.Duration(v.Settings.QuotaWindowS * float64(time.Second)),
 		Excess: v.Settings.QuotaExcess, Margin: v.Settings.QuotaMargin,
 	}, firstPeers)
-	v.entries = v.targetsFollower()
+	v.entries, v.configs = v.targetsFollower(), v.configFollower()
 	if err := v.beat.listen(); err != nil {
 		return err
 	}
@@ -124,7 +125,7 @@
 	wg.Go(func() { v.watchConfig(ctx) })
 	wg.Go(func() { v.pollStore(ctx) })
 	wg.Go(func() { v.watchTargets(ctx) })
-	wg.Go(func() { v.watchRecord(ctx) })
+	wg.Go(func() { v.findRecord(ctx) })
 	wg.Go(func() { v.beat.send(ctx) })
 	wg.Go(func() { v.homes.tend(ctx) })
 	wg.Go(func() { v.duty.hold(ctx) })
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/pollendoor/pollendoor"
@@ -23,8 +24,9 @@
 	// retryPause is the pause after a failed call to the store, with half of it
 	// as jitter. It bounds the calls of a fleet whose store is down.
 	retryPause = 400 * time.Millisecond
-	// recordKind and recordName are where the fleet keeps its record.
-	recordKind = "fleet/"
+	// watcherPoll is how often a VM looks whether it has become its zone's watcher.
+	watcherPoll = 200 * time.Millisecond
+	// recordName is where the fleet keeps its record.
 	recordName = "fleet/record"
 )
 
@@ -57,19 +59,23 @@
 	return s.Watch(ctx, f.kind, revision)
 }
 
-// follow lists a kind and then watches it, for good.
+// follow lists a kind, and watches it while this VM is its zone's watcher.
 func (v *VM) follow(ctx context.Context, f *follower) {
-	lost := false
+	lost, listed := false, false
 	for ctx.Err() == nil {
+		if listed && !v.watches() {
+			pollendoor.Pause(ctx, watcherPoll)
+			continue
+		}
 		all, revision, err := v.Platform.Store.List(ctx, f.kind)
 		if err == nil {
 			if lost {
 				v.Log.Info().Str("kind", f.kind).Uint64("revision", revision).Msg("store regained")
 			}
-			lost = false
+			lost, listed = false, true
 			f.list(all)
 		}
-		for err == nil && ctx.Err() == nil {
+		for err == nil && ctx.Err() == nil && v.watches() {
 			var events []pollendoor.Object
 			events, revision, err = f.watch(ctx, v.Platform.Store, revision)
 			for _, o := range events {
@@ -77,10 +83,12 @@
 			}
 		}
 		switch {
+		case err == nil:
+			continue // another VM watches from now on
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, pollendoor.ErrHistoryGone), errors.Is(err, context.Canceled):
-			v.Log.Info().Err(err).Str("kind", f.kind).Msg("listing anew")
+			v.Log.Debug().Err(err).Str("kind", f.kind).Msg("listing anew")
 			continue
 		}
 		if !lost {
@@ -92,12 +100,43 @@
 	}
 }
 
+// watches reports whether this VM watches the store for its zone, or has to since
+// it hears nothing from the duty holder. The others hear from it.
+func (v *VM) watches() bool {
+	w := v.view.Load()
+	if w.Version == 0 {
+		return false // too early to tell
+	}
+	if v.beat.silent() {
+		return true
+	}
+	first, ok := watcherOf(w, v.Settings.Zone)
+	return ok && first.Name == v.Settings.VM
+}
+
+// watcherOf returns the VM that watches the store for a zone.
+func watcherOf(w *view, zone string) (peer, bool) {
+	var best peer
+	var score uint64
+	for _, p := range w.Peers {
+		if s := xxhash.Sum64String("watch/" + p.Name); p.Zone == zone && (best.Name == "" || s > score) {
+			best, score = p, s
+		}
+	}
+	return best, best.Name != ""
+}
+
 func (v *VM) watchConfig(ctx context.Context) {
-	v.follow(ctx, &follower{kind: v.Platform.ConfigKind, change: v.configObject, list: func(all []pollendoor.Object) {
+	v.follow(ctx, &v.configs)
+}
+
+// configFollower returns the follower of the configuration.
+func (v *VM) configFollower() follower {
+	return follower{kind: v.Platform.ConfigKind, change: v.configObject, list: func(all []pollendoor.Object) {
 		for _, o := range all {
 			v.configObject(o)
 		}
-	}})
+	}}
 }
 
 // readConfig asks the store for the configuration. A watch may miss a change for
@@ -140,6 +179,7 @@
 	v.homes.refresh()
 	v.Log.Info().Uint64("version", c.Version).Str("source", source).
 		Int("routes", len(c.Routes)).Int("keys", len(c.Keys)).Msg("configuration in force")
+	v.beat.news()
 	if v.ConfigChanged != nil {
 		v.ConfigChanged()
 	}
@@ -177,15 +217,24 @@
 }
 
 func (v *VM) listTargets(all []pollendoor.Object) {
+	list := make([]pollendoor.TargetInfo, 0, len(all))
+	for _, o := range all {
+		if t, ok := v.decodeTarget(o); ok {
+			list = append(list, t)
+		}
+	}
+	v.takeTargets(list)
+}
+
+// takeTargets follows a whole list of targets.
+func (v *VM) takeTargets(list []pollendoor.TargetInfo) {
 	v.targets.update(func(byID map[string]pollendoor.TargetInfo, gone map[string]time.Time) {
-		listed := make(map[string]bool, len(all))
-		for _, o := range all {
-			if t, ok := v.decodeTarget(o); ok {
-				listed[t.ID] = true
-				v.logTarget(byID[t.ID], t)
-				byID[t.ID] = t
-				delete(gone, t.ID)
-			}
+		listed := make(map[string]bool, len(list))
+		for _, t := range list {
+			listed[t.ID] = true
+			v.logTarget(byID[t.ID], t)
+			byID[t.ID] = t
+			delete(gone, t.ID)
 		}
 		for id := range byID {
 			if _, ok := gone[id]; !listed[id] && !ok {
@@ -194,7 +243,12 @@
 			}
 		}
 	})
+	v.targetsChanged()
+}
+
+func (v *VM) targetsChanged() {
 	v.homes.refresh()
+	v.beat.news()
 }
 
 func (v *VM) changeTarget(o pollendoor.Object) {
@@ -213,7 +267,7 @@
 			delete(gone, id)
 		}
 	})
-	v.homes.refresh()
+	v.targetsChanged()
 }
 
 func (v *VM) logTarget(old, t pollendoor.TargetInfo) {
@@ -233,25 +287,27 @@
 	return t, true
 }
 
-func (v *VM) watchRecord(ctx context.Context) {
-	take := func(o pollendoor.Object) {
-		if o.Name != recordName || o.Version == 0 {
-			return
+// findRecord looks the record up in the store when the VM starts. Later versions
+// come from the duty holder.
+func (v *VM) findRecord(ctx context.Context) {
+	for ctx.Err() == nil {
+		o, err := v.Platform.Store.Get(ctx, recordName)
+		var r storedRecord
+		if err == nil {
+			r, err = decodeRecord(o)
+		}
+		if err == nil {
+			v.learn(r, "store")
 		}
-		r, err := decodeRecord(o)
-		if err != nil {
-			v.Log.Error().Err(err).Msg("record ignored")
+		if err == nil || errors.Is(err, pollendoor.ErrNotFound) {
+			v.beat.listed.Store(true)
+			v.beat.wake()
 			return
 		}
-		v.learn(r, "store")
+		v.stats.StoreErrors.Add(1)
+		v.Log.Warn().Err(err).Msg("record not read")
+		pollendoor.Pause(ctx, retryPause/2+rand.N(retryPause))
 	}
-	v.follow(ctx, &follower{kind: recordKind, change: take, list: func(all []pollendoor.Object) {
-		for _, o := range all {
-			take(o)
-		}
-		v.beat.listed.Store(true)
-		v.beat.wake()
-	}})
 }
 
 func decodeRecord(o pollendoor.Object) (storedRecord, error) {
