fleet, share: one keeper of a team's rate in each zone

Cause: at 62 VMs and 73 teams a VM's share of a team's rate is a fraction of an operation a second; a fifth of all requests was refused within the rate, and the shares made up most of the heartbeats. A VM now asks its zone's keeper, 0.4 ms away.

--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -55,12 +55,14 @@
 type packetKind uint8
 
 const (
-	packetBeat   packetKind = iota + 1 // a VM to the duty holder
-	packetAnswer                       // its answer
-	packetPoke                         // the holder tells its record and asks for a heartbeat now
-	packetAsk                          // a VM asks another whether it hears the holder
-	packetTell                         // its answer
-	packetNews                         // a zone's watcher has learned something
+	packetBeat     packetKind = iota + 1 // a VM to the duty holder
+	packetAnswer                         // its answer
+	packetPoke                           // the holder tells its record and asks for a heartbeat now
+	packetAsk                            // a VM asks another whether it hears the holder
+	packetTell                           // its answer
+	packetNews                           // a zone's watcher has learned something
+	packetAdmit                          // a VM asks the keeper of a team's rate for an operation
+	packetAdmitted                       // its answer: Want if admitted, after a wait of Lease
 )
 
 // position is a sample in a datagram. Since is counted from the echoed stamp's
@@ -101,6 +103,7 @@
 	Positions map[string]position `cbor:"17,keyasint,omitempty"` // of primaries, by group
 	Relay     string              `cbor:"22,keyasint,omitempty"` // VM's IP through which a heartbeat came
 	To        string              `cbor:"23,keyasint,omitempty"` // VM's IP that an answer is for
+	Team      string              `cbor:"24,keyasint,omitempty"` // whose rate is asked for
 	Age       time.Duration       `cbor:"18,keyasint,omitempty"` // of a tell: since the holder answered
 }
 
@@ -412,6 +415,10 @@
 		b.write(p.From.IP, &packet{Kind: packetTell, Token: b.vm.lease.Load().Record.Token, Echo: p.Stamp, Age: age})
 	case packetNews:
 		b.compare(p.From, p.Config, p.Digest, now)
+	case packetAdmit:
+		b.vm.rates.asked(p, now)
+	case packetAdmitted:
+		b.vm.rates.answered(p)
 	case packetTell:
 		b.mu.Lock()
 		if b.told == nil {
--- a/fleet/cluster.go
+++ b/fleet/cluster.go
@@ -39,7 +39,7 @@
 	if !ok {
 		return 0, true
 	}
-	wait, ok := v.buckets.Admit(team, l, clock.Now())
+	wait, ok := v.rates.admit(team, l)
 	if !ok {
 		v.stats.OverRate.Add(1)
 	}
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -247,7 +247,7 @@
 	if v.shareToken() != d.state.Record.Token {
 		seq = 0
 	}
-	shares, seq := d.pool.Renew(share.Report{VM: v.Settings.VM, Run: v.run, Seq: seq, Held: held}, d.sharers(now), d.closed(now), now)
+	shares, seq := d.pool.Renew(share.Report{VM: v.Settings.VM, Run: v.run, Seq: seq, Held: held}, d.sharers(), d.closed(now), now)
 	if c := v.Config(); c != nil {
 		v.setShareToken(d.state.Record.Token)
 		v.buckets.Adopt(shares, seq, c.Teams, now, now)
@@ -263,14 +263,19 @@
 	return !d.state.Complete() && now < d.state.Claimed+share.Life
 }
 
-// sharers returns how many VMs share the teams' rates. Just after a claim not all
-// of them have been heard.
-func (d *duty) sharers(now time.Duration) int {
-	n := len(d.state.Live(now))
-	if now < d.state.Claimed+settleTime {
-		n = max(n, len(d.state.Record.Members))
+// sharers returns how many VMs share a team's rate: one keeper in each zone.
+func (d *duty) sharers() int {
+	zones := make(map[string]bool)
+	for _, p := range d.view.Peers {
+		zones[p.Zone] = true
+	}
+	if d.state.Claimed+settleTime > clock.Now() {
+		// Just after a claim not all VMs have been heard.
+		for zone := range d.vm.Settings.Zones {
+			zones[zone] = true
+		}
 	}
-	return n
+	return len(zones)
 }
 
 // refreshView follows the VMs that are heard.
@@ -335,7 +340,7 @@
 			a.Positions[name] = position{Since: s.Since - now, Term: s.Position.Term, Index: s.Position.Index}
 		}
 	}
-	a.Shares, a.ShareSeq = d.pool.Renew(share.Report{VM: p.From.Name, Run: p.Run, Seq: p.ShareSeq, Held: p.Held}, d.sharers(now), d.closed(now), now)
+	a.Shares, a.ShareSeq = d.pool.Renew(share.Report{VM: p.From.Name, Run: p.Run, Seq: p.ShareSeq, Held: p.Held}, d.sharers(), d.closed(now), now)
 	return a
 }
 
@@ -471,6 +476,9 @@
 		Window: time.Duration(v.Settings.QuotaWindowS * float64(time.Second)),
 		Excess: v.Settings.QuotaExcess, Margin: v.Settings.QuotaMargin,
 	}, max(len(n.Peers), 1))
+	if c := v.Config(); c != nil {
+		v.buckets.Know(v.rates.kept(c), clock.Now())
+	}
 	v.homes.refresh()
 	names := make([]string, 0, len(n.Peers))
 	for _, p := range n.Peers {
--- a/fleet/vm.go
+++ b/fleet/vm.go
@@ -59,6 +59,7 @@
 	homes     homes
 	lanes     lanes
 	duty      duty
+	rates     rates
 	beat      beat
 	draining  atomic.Bool
 	served    lineLimit
@@ -108,6 +109,7 @@
 	v.lanes.vm = v
 	v.duty.vm = v
 	v.beat.vm = v
+	v.rates.vm = v
 	v.buckets.Configure(share.Slack{
 		Window: time.Duration(v.Settings.QuotaWindowS * float64(time.Second)),
 		Excess: v.Settings.QuotaExcess, Margin: v.Settings.QuotaMargin,
--- a/share/bucket.go
+++ b/share/bucket.go
@@ -11,6 +11,10 @@
 // demandTime is the time constant of the moving average of demand.
 const demandTime = 1500 * time.Millisecond
 
+// forgetTime is how long a team's bucket is kept that is neither used nor kept for
+// the zone. Until then the holder hears that its share was given up.
+const forgetTime = 5 * time.Second
+
 // Slack is what may be admitted beyond rate and burst, over all VMs, without
 // breaking the limit: a part of the allowance of a window, and a number.
 type Slack struct {
@@ -78,6 +82,7 @@
 	demand float64
 	since  time.Duration // when demand was last averaged
 	used   time.Duration
+	kept   bool // this VM asks for a share
 }
 
 // Buckets admits operations at one VM. The zero value admits by the slack only.
@@ -159,12 +164,18 @@
 	defer b.mu.Unlock()
 	out := make(map[string]Held, len(b.teams))
 	for name, t := range b.teams {
+		if !t.kept && now-t.used > forgetTime {
+			delete(b.teams, name)
+			continue
+		}
 		if d := (now - t.since).Seconds(); d > 0 {
 			k := 1 - math.Exp(-d/demandTime.Seconds())
 			t.demand += (t.asked/d - t.demand) * k
 			t.asked, t.since = 0, now
 		}
-		out[name] = Held{Amount: t.share, Left: max(0, t.until-now), Demand: t.demand}
+		if t.kept || t.used > now-forgetTime {
+			out[name] = Held{Amount: t.share, Left: max(0, t.until-now), Demand: t.demand, Released: !t.kept}
+		}
 	}
 	return out, b.seq
 }
@@ -176,23 +187,26 @@
 	b.seq = seq
 	for name, s := range shares {
 		t := b.team(name, now)
+		if !t.kept {
+			continue
+		}
 		l := limits[name]
 		t.fill(l, b.slack, b.peers, now)
 		t.share, t.until = s, sent+Life
 	}
 }
 
-// Know makes sure that a share is asked for each team, so that it is there
-// before the team's first caller.
-func (b *Buckets) Know(teams map[string]pollendoor.TeamLimit, now time.Duration) {
+// Know makes sure that a share is asked for each team that this VM keeps, so that
+// it is there before the team's first caller, and gives up those of others.
+func (b *Buckets) Know(kept map[string]pollendoor.TeamLimit, now time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for name := range teams {
-		b.team(name, now)
+	for name := range kept {
+		b.team(name, now).kept = true
 	}
-	for name := range b.teams {
-		if _, ok := teams[name]; !ok {
-			delete(b.teams, name)
+	for name, t := range b.teams {
+		if _, ok := kept[name]; !ok && t.kept {
+			t.kept, t.share, t.until, t.used = false, 0, 0, now
 		}
 	}
 }
--- a/share/pool.go
+++ b/share/pool.go
@@ -11,7 +11,7 @@
 const (
 	// Life is how long a grant lasts, counted from when its request was sent. It
 	// outlives a change of the duty holder.
-	Life = 4 * time.Second
+	Life = 3 * time.Second
 	// even is the part of a team's allowance that is divided evenly, so that a
 	// VM that was idle can serve the first callers it gets.
 	even = 0.25
@@ -54,6 +54,8 @@
 	Amount float64       `cbor:"1,keyasint"`
 	Left   time.Duration `cbor:"2,keyasint"` // until it lapses; zero if it has
 	Demand float64       `cbor:"3,keyasint"` // operations a second asked for
+	// Released says that another VM keeps the team's rate now.
+	Released bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Report is what a VM tells of its shares.
@@ -87,6 +89,10 @@
 				own.grants = []grant{{amount: h.Amount, until: now + h.Left}}
 			}
 		}
+		if h.Released {
+			delete(vms, r.VM)
+			continue
+		}
 		own.demand = h.Demand
 		own.grants = slices.DeleteFunc(own.grants, func(g grant) bool { return g.seq < r.Seq })
 		amount := p.amount(vms, r.VM, live, closed, now)
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -111,6 +111,7 @@
 		buckets := make([]share.Buckets, vms)
 		for i := range buckets {
 			buckets[i].Configure(slack, vms)
+			buckets[i].Know(map[string]pollendoor.TeamLimit{"t": limit}, 0)
 		}
 		var admitted []time.Duration
 		limits := map[string]pollendoor.TeamLimit{"t": limit}
@@ -146,10 +147,46 @@
 	})
 }
 
+// The keeper of a team's rate in a zone changes: what the old one held is free for
+// the new one as soon as the old one has reported.
+func TestReleasedShareIsFree(t *testing.T) {
+	var p share.Pool
+	var old share.Buckets
+	limits := map[string]pollendoor.TeamLimit{"t": limit}
+	old.Configure(slack, 2)
+	old.Know(limits, 0)
+	renew := func(now time.Duration) float64 {
+		h, seq := old.Report(now)
+		got, n := p.Renew(share.Report{VM: "old", Seq: seq, Held: h}, 1, false, now)
+		old.Adopt(got, n, limits, now, now)
+		return got["t"]
+	}
+	if got := renew(time.Second); got < 0.99 {
+		t.Fatalf("got %.2f for the only keeper, want all", got)
+	}
+	old.Know(nil, 2*time.Second)
+	renew(2 * time.Second)
+	got, _ := p.Renew(share.Report{VM: "new", Held: held(0, 0, 10)}, 1, false, 2*time.Second)
+	if got["t"] < 0.99 {
+		t.Errorf("got %.2f for the next keeper, want all", got["t"])
+	}
+	n := 0
+	for {
+		if wait, ok := old.Admit("t", limit, 2*time.Second); !ok || wait > 0 {
+			break
+		}
+		n++
+	}
+	if most := 1 + int(slack.Margin); n > most {
+		t.Errorf("got %d operations at the old keeper, want at most %d", n, most)
+	}
+}
+
 func TestTokenIsWaitedForBriefly(t *testing.T) {
 	var b share.Buckets
 	b.Configure(slack, 1)
 	limits := map[string]pollendoor.TeamLimit{"t": limit}
+	b.Know(limits, 0)
 	b.Adopt(map[string]float64{"t": 1}, 1, limits, 0, 0)
 	for {
 		wait, ok := b.Admit("t", limit, 0)
