--- a/broker/broker.go
+++ b/broker/broker.go
@@ -18,7 +18,7 @@
 
 const (
 	// dialTimeout bounds connection and handshake.
-	dialTimeout = 700 * time.Millisecond
+	dialTimeout = 500 * time.Millisecond
 	// limitPause is how long the number of connections does not grow after the
 	// target refused one for their number.
 	limitPause = 400 * time.Millisecond
@@ -289,8 +289,8 @@
 }
 
 // dial opens the connection that a grant allows.
-func (b *Broker) dial(team string) (*link, pollendoor.Reply) {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+func (b *Broker) dial(team string, left time.Duration) (*link, pollendoor.Reply) {
+	ctx, cancel := context.WithTimeout(context.Background(), min(dialTimeout, left))
 	defer cancel()
 	t := b.Target()
 	if b.Dialed != nil {
@@ -336,7 +336,7 @@
 	b.mu.Unlock()
 	if l == nil {
 		var r pollendoor.Reply
-		if l, r = b.dial(team); r.Code != "" {
+		if l, r = b.dial(team, dialTimeout); r.Code != "" {
 			return
 		}
 	}
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -19,6 +19,7 @@
 	open   int
 	dials  int
 	dark   bool
+	left   time.Duration // of the last connection attempt
 	resets int
 	ran    []string // teams, in the order of their statements
 	hold   chan struct{}
@@ -28,9 +29,12 @@
 
 var errDark = errors.New("no route to host")
 
-func (t *target) dial(_ context.Context, _ pollendoor.TargetInfo, team string) (pollendoor.TargetConn, error) {
+func (t *target) dial(ctx context.Context, _ pollendoor.TargetInfo, team string) (pollendoor.TargetConn, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if d, ok := ctx.Deadline(); ok {
+		t.left = time.Until(d)
+	}
 	t.dials++
 	if t.dark {
 		return nil, errDark
@@ -343,3 +347,16 @@
 		t.Errorf("got state %c after a rollback, want I", r.State)
 	}
 }
+
+// A target behind a cut link takes no connection and refuses none: the attempt
+// ends with the statement's own time, not later.
+func TestConnectionAttemptEndsWithTheStatement(t *testing.T) {
+	s := &target{}
+	b := newBroker(s, 1, 1)
+	w := work()
+	w.Timeout = 40 * time.Millisecond
+	b.Open("a").Do(w)
+	if got, most := s.left, w.Timeout; got > most {
+		t.Errorf("got %v for the connection, want at most %v", got, most)
+	}
+}
--- a/broker/turn.go
+++ b/broker/turn.go
@@ -22,7 +22,7 @@
 	b := t.broker
 	deadline := time.Now().Add(w.Timeout)
 	pinned := t.link != nil
-	l, refused := t.enter(w)
+	l, refused := t.enter(w, deadline)
 	if l == nil {
 		if pinned {
 			t.Close()
@@ -43,7 +43,7 @@
 
 // enter waits for a slot with a connection. When the target refuses one more
 // connection, the statement waits for one of those that there are.
-func (t *Turn) enter(w *pollendoor.Work) (*link, pollendoor.Reply) {
+func (t *Turn) enter(w *pollendoor.Work, deadline time.Time) (*link, pollendoor.Reply) {
 	b := t.broker
 	wait := *w
 	for until := time.Now().Add(w.MaxWait); ; {
@@ -54,7 +54,7 @@
 		if !g.dial {
 			return g.link, pollendoor.Reply{}
 		}
-		l, refused := b.dial(t.team)
+		l, refused := b.dial(t.team, time.Until(deadline))
 		if l != nil {
 			return l, refused
 		}
--- a/fleet/turn.go
+++ b/fleet/turn.go
@@ -1,9 +1,14 @@
 package fleet
 
 import (
+	"time"
+
 	"github.com/pollendoor/pollendoor"
 )
 
+// leastTime is the time below which work is not offered to another home.
+const leastTime = 30 * time.Millisecond
+
 // turn runs work at a target through its home, or through another VM that
 // reaches it.
 type turn struct {
@@ -19,9 +24,12 @@
 	if t.inner != nil {
 		return t.note(t.inner.Do(w))
 	}
-	var r pollendoor.Reply
+	r := pollendoor.Reply{Code: pollendoor.ErrMisrouted, Text: "no VM reaches the target", State: 'I'}
+	deadline := time.Now().Add(w.Timeout)
 	for i, p := range t.vm.homes.choose(t.target) {
-		if i == homesTried {
+		// What earlier homes have used up is gone.
+		w.Timeout = time.Until(deadline)
+		if i == homesTried || w.Timeout < leastTime {
 			break
 		}
 		var inner pollendoor.Turn
