--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -25,6 +25,8 @@
 	beatPeriod = 400 * time.Millisecond
 	// settlePeriod is the same after a start or a change of the holder.
 	settlePeriod = 120 * time.Millisecond
+	// settleFleet is the number of VMs up to which that is so.
+	settleFleet = 16
 	// selfLeaseAfter is how long the holder is silent before a VM asks the store
 	// itself whether its record still stands.
 	selfLeaseAfter = 900 * time.Millisecond
@@ -89,6 +91,7 @@
 	Held     map[string]share.Held   `cbor:"9,keyasint,omitempty"`
 	ShareSeq uint64                  `cbor:"10,keyasint,omitempty"`
 	ViewSeen uint64                  `cbor:"11,keyasint,omitempty"`
+	Power    float64                 `cbor:"25,keyasint,omitempty"` // share of a core
 	Run      uint64                  `cbor:"21,keyasint,omitempty"` // identifies the process
 
 	// Of an answer.
@@ -220,7 +223,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if now < b.changed+settleTime*2 {
-		return settlePeriod
+		// In a large fleet the holder has that many heartbeats to answer.
+		n := time.Duration(len(b.vm.view.Load().Peers))
+		return min(beatPeriod, max(settlePeriod, settlePeriod*n/settleFleet))
 	}
 	return beatPeriod
 }
@@ -264,7 +269,7 @@
 	v := b.vm
 	held, seq := v.buckets.Report(now)
 	p := &packet{
-		Kind: packetBeat, Token: r.Token, Stamp: now, Version: r.Version, Run: v.run,
+		Kind: packetBeat, Token: r.Token, Stamp: now, Version: r.Version, Run: v.run, Power: v.Settings.CPU,
 		Reports: make(map[string]reign.Report), Positions: make(map[string]position),
 		Held: held, ViewSeen: v.view.Load().Version,
 	}
@@ -312,7 +317,7 @@
 func (b *beat) sight(r *reign.Record, silent, now time.Duration) reign.Sight {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := reign.Sight{Self: b.vm.Settings.VM, Record: *r, Silent: silent, NoClaim: b.noClaim}
+	s := reign.Sight{Self: b.vm.Settings.VM, Power: b.vm.Settings.CPU, Record: *r, Silent: silent, NoClaim: b.noClaim}
 	if w := b.wanted.echo(r.Token); w > 0 {
 		s.Without, s.Store = now-w, b.storeOK && now-b.storeRead < tellAge
 	}
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"sync"
 	"time"
 
@@ -239,7 +238,7 @@
 			reports[name] = r
 		}
 	}
-	d.state.Heard(v.Settings.VM, d.state.Record.Version, 0, 0, reports, now)
+	d.state.Heard(reign.Heartbeat{VM: v.Settings.VM, Version: d.state.Record.Version, Power: v.Settings.CPU, Reports: reports}, now)
 	if l := d.state.Lease(v.Settings.VM, now); l > 0 {
 		v.changeLease(func(own *reign.Lease) bool { return own.Adopt(d.state.Record, now, l) })
 	}
@@ -312,7 +311,7 @@
 		// It speaks of an earlier holder's record, clock and shares.
 		version, p.Echo, p.ShareSeq, p.Positions = 0, 0, 0, nil
 	}
-	d.state.Heard(p.From.Name, version, p.Echo, p.Promise, p.Reports, now)
+	d.state.Heard(reign.Heartbeat{VM: p.From.Name, Version: version, Echo: p.Echo, Promise: p.Promise, Power: p.Power, Reports: p.Reports}, now)
 	d.peers[p.From.Name] = peerState{peer: p.From, config: p.Config}
 	d.refreshView(now)
 	a := &packet{
@@ -498,17 +497,9 @@
 	return list
 }
 
-// claimed returns the fencing token of this holder.
+// token returns the fencing token of this holder.
 func (d *duty) token() uint64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.state.Record.Token
 }
-
-// group returns a group's agreed state.
-func (d *duty) group(name string) (reign.Group, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	g, ok := maps.Clone(d.state.Record.Groups)[name]
-	return g, ok && d.holding()
-}
--- a/fleet/lanes.go
+++ b/fleet/lanes.go
@@ -29,8 +29,6 @@
 	laneBuffer = 1024
 	// laneIdle is how long the home keeps a lane that carries nothing.
 	laneIdle = time.Minute
-	// maxFrame bounds a message between VMs, in bytes.
-	maxFrame = 4 << 20
 )
 
 // call is one request on a lane: work, the end of a turn, or a question for the
--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -11,18 +11,19 @@
 
 // Settings is the settings file of a VM on the platform.
 type Settings struct {
-	VM       string `yaml:"vm"`
-	Zone     string `yaml:"zone"`
-	Region   string `yaml:"region"`
-	Callers  string `yaml:"callers"`  // IP and port for callers
-	Ready    string `yaml:"ready"`    // IP and port for readiness probes
-	IP       string `yaml:"ip"`       // of this VM
-	PeerPort int    `yaml:"peerPort"` // for other VMs: heartbeats by UDP, work by TCP
-	Metrics  string `yaml:"metrics"`  // IP and port for counters and histograms
-	Store    string `yaml:"store"`    // IP and port of the metadata store
-	Cloud    string `yaml:"cloud"`    // IP and port for promotions
-	MemoryMB int64  `yaml:"memoryMB"` // limit of the process
-	LogLevel string `yaml:"logLevel"` // debug, info, warn or error
+	VM       string  `yaml:"vm"`
+	Zone     string  `yaml:"zone"`
+	Region   string  `yaml:"region"`
+	Callers  string  `yaml:"callers"`  // IP and port for callers
+	Ready    string  `yaml:"ready"`    // IP and port for readiness probes
+	IP       string  `yaml:"ip"`       // of this VM
+	PeerPort int     `yaml:"peerPort"` // for other VMs: heartbeats by UDP, work by TCP
+	Metrics  string  `yaml:"metrics"`  // IP and port for counters and histograms
+	Store    string  `yaml:"store"`    // IP and port of the metadata store
+	Cloud    string  `yaml:"cloud"`    // IP and port for promotions
+	MemoryMB int64   `yaml:"memoryMB"` // limit of the process
+	CPU      float64 `yaml:"cpu"`      // share of a core that this VM has
+	LogLevel string  `yaml:"logLevel"` // debug, info, warn or error
 
 	// Zones gives the region of each availability zone.
 	Zones map[string]string `yaml:"zones"`
@@ -71,6 +72,9 @@
 	if s.PeerPort <= 0 || s.PeerPort > 65535 {
 		return errors.Newf("peerPort: %d is no port", s.PeerPort)
 	}
+	if s.CPU <= 0 {
+		return errors.Newf("cpu: %g is no share of a core", s.CPU)
+	}
 	if s.GraceS <= 0 {
 		return errors.Newf("graceS: %g s is no time for a planned stop", s.GraceS)
 	}
--- a/reign/duty.go
+++ b/reign/duty.go
@@ -1,6 +1,7 @@
 package reign
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -36,6 +37,7 @@
 	heard    time.Duration // zero for not since the claim
 	version  uint64        // of the record that it has adopted
 	promised time.Duration // until then it claims nothing
+	power    float64
 	reports  map[string]Report
 }
 
@@ -51,20 +53,29 @@
 	changed   map[string]uint64        // version of the record that moved it
 }
 
-// Heard takes a heartbeat of a VM. Echo is the holder's time that it repeats,
-// from an earlier answer; promise is how long after that the VM claims nothing.
-func (d *Duty) Heard(vm string, version uint64, echo, promise time.Duration, reports map[string]Report, now time.Duration) {
+// Heartbeat is what a VM tells the holder.
+type Heartbeat struct {
+	VM      string
+	Version uint64            // of the record that it has adopted
+	Echo    time.Duration     // the holder's time that it repeats, from an earlier answer
+	Promise time.Duration     // how long after Echo it claims nothing
+	Power   float64           // share of a core that it has
+	Reports map[string]Report // by group
+}
+
+// Heard takes a heartbeat.
+func (d *Duty) Heard(b Heartbeat, now time.Duration) {
 	if d.members == nil {
 		d.members = make(map[string]*member)
 	}
-	m := d.members[vm]
+	m := d.members[b.VM]
 	if m == nil {
 		m = &member{}
-		d.members[vm] = m
+		d.members[b.VM] = m
 	}
-	m.heard, m.version, m.reports = now, version, reports
-	if echo > 0 && echo <= now {
-		m.promised = max(m.promised, echo+promise)
+	m.heard, m.version, m.reports, m.power = now, b.Version, b.Reports, b.Power
+	if b.Echo > 0 && b.Echo <= now {
+		m.promised = max(m.promised, b.Echo+b.Promise)
 	}
 }
 
@@ -148,7 +159,9 @@
 }
 
 // Members returns the record's members as they should be, and whether that is a
-// change: VMs that were heard come in, and those silent for long go.
+// change: VMs that were heard come in, and those silent for long go. The most
+// powerful come first, as they are the first to take the duty over: the holder's
+// work grows with the fleet.
 func (d *Duty) Members(now time.Duration) ([]string, bool) {
 	var list []string
 	for _, name := range d.Record.Members {
@@ -162,10 +175,21 @@
 			list = append(list, name)
 		}
 	}
-	slices.Sort(list)
-	old := slices.Clone(d.Record.Members)
-	slices.Sort(old)
-	return list, !slices.Equal(list, old)
+	slices.SortFunc(list, func(a, b string) int {
+		if c := cmp.Compare(d.power(b), d.power(a)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a, b)
+	})
+	sorted, old := slices.Sorted(slices.Values(list)), slices.Sorted(slices.Values(d.Record.Members))
+	return list, !slices.Equal(sorted, old)
+}
+
+func (d *Duty) power(vm string) float64 {
+	if m := d.members[vm]; m != nil {
+		return m.power
+	}
+	return 0
 }
 
 // Live returns the VMs that were heard lately, this one included.
--- a/reign/lease.go
+++ b/reign/lease.go
@@ -56,12 +56,17 @@
 // reaches it takes the duty over.
 const withoutStore = 500 * time.Millisecond
 
+// weakDelay is how long a VM without any power leaves it to others to be the first
+// holder.
+const weakDelay = 500 * time.Millisecond
+
 // rankDelay spreads the claims of the members.
 const rankDelay = 120 * time.Millisecond
 
 // Sight is what a VM knows when it considers to take the duty over.
 type Sight struct {
 	Self      string
+	Power     float64 // share of a core that this VM has
 	Record    Record
 	Silent    time.Duration // since the holder last answered this VM
 	NoClaim   time.Duration // boot clock: until then this VM has promised not to claim
@@ -74,8 +79,11 @@
 
 // MayClaim decides whether a VM claims the duty now.
 func MayClaim(s Sight, now time.Duration) bool {
-	if s.Record.Holder == "" || s.Record.Holder == s.Self {
-		return true // nobody holds it, or an earlier process of this VM does
+	if s.Record.Holder == s.Self {
+		return true // an earlier process of this VM holds it
+	}
+	if s.Record.Holder == "" {
+		return s.Silent >= time.Duration((1-min(1, s.Power))*float64(weakDelay))
 	}
 	if now < s.NoClaim {
 		return false
--- a/reign/reign_test.go
+++ b/reign/reign_test.go
@@ -1,6 +1,7 @@
 package reign_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -76,7 +77,8 @@
 		{"nobody answers: cut off itself", with(func(s *reign.Sight) { s.Answered = 0 }), false},
 		{"nobody answers for long", with(func(s *reign.Sight) { s.Answered, s.Silent = 0, 7*second }), true},
 		{"earlier process of this VM", with(func(s *reign.Sight) { s.Record.Holder, s.Silent, s.HeardByAt = "b", 0, 1 }), true},
-		{"nobody holds it", with(func(s *reign.Sight) { s.Record.Holder, s.Silent = "", 0 }), true},
+		{"nobody holds it", with(func(s *reign.Sight) { s.Record.Holder, s.Silent, s.Power = "", 0, 1 }), true},
+		{"nobody holds it, a weak VM has just started", with(func(s *reign.Sight) { s.Record.Holder, s.Silent, s.Power = "", 0, 0.2 }), false},
 		{"holder without the store, this VM with it", with(func(s *reign.Sight) { s.Silent, s.HeardByAt, s.Without, s.Store = 0, 1, 2*second, true }), true},
 		{"holder and this VM without the store", with(func(s *reign.Sight) { s.Silent, s.HeardByAt, s.Without = 0, 1, 2*second }), false},
 		{"holder without the store for a moment", with(func(s *reign.Sight) { s.Silent, s.HeardByAt, s.Without, s.Store = 0, 1, 100*time.Millisecond, true }), false},
@@ -106,15 +108,15 @@
 	if got := d.Lease("b", now); got != 0 {
 		t.Errorf("long without proof: got %v, want none", got)
 	}
-	d.Heard("b", 1, now-second/10, reign.PromiseTime, nil, now)
+	d.Heard(reign.Heartbeat{VM: "b", Version: 1, Echo: now - second/10, Promise: reign.PromiseTime}, now)
 	if got := d.Lease("b", now); got != 0 {
 		t.Errorf("one promise of two: got %v, want none", got)
 	}
-	d.Heard("c", 1, now-second, reign.PromiseTime, nil, now)
+	d.Heard(reign.Heartbeat{VM: "c", Version: 1, Echo: now - second, Promise: reign.PromiseTime}, now)
 	if got, want := d.Lease("b", now), reign.PromiseTime-second-reign.ClockSlack; got != want {
 		t.Errorf("all promised: got %v, want %v", got, want)
 	}
-	d.Heard("c", 1, now+second, reign.PromiseTime, nil, now)
+	d.Heard(reign.Heartbeat{VM: "c", Version: 1, Echo: now + second, Promise: reign.PromiseTime}, now)
 	if got, want := d.Lease("b", now), reign.PromiseTime-second-reign.ClockSlack; got != want {
 		t.Errorf("echo of a time to come: got %v, want %v", got, want)
 	}
@@ -135,19 +137,19 @@
 		{"all leases have run out", moving, 20*second + reign.LeaseTime + reign.ClockSlack, true},
 		{"all have adopted it", func(d *reign.Duty) {
 			moving(d)
-			d.Heard("b", 2, 0, 0, nil, 20*second)
-			d.Heard("c", 2, 0, 0, nil, 20*second)
+			d.Heard(reign.Heartbeat{VM: "b", Version: 2, Echo: 0, Promise: 0}, 20*second)
+			d.Heard(reign.Heartbeat{VM: "c", Version: 2, Echo: 0, Promise: 0}, 20*second)
 		}, 20 * second, true},
 		{"one has an older version", func(d *reign.Duty) {
 			moving(d)
-			d.Heard("b", 2, 0, 0, nil, 20*second)
-			d.Heard("c", 1, 0, 0, nil, 20*second)
+			d.Heard(reign.Heartbeat{VM: "b", Version: 2, Echo: 0, Promise: 0}, 20*second)
+			d.Heard(reign.Heartbeat{VM: "c", Version: 1, Echo: 0, Promise: 0}, 20*second)
 		}, 21 * second, false},
 		{"not moving", func(*reign.Duty) {}, 60 * second, false},
 		{"a member was struck off meanwhile", func(d *reign.Duty) {
 			moving(d)
 			d.Written(d.Record.WithMembers([]string{"a", "b"}), 21*second, 21*second)
-			d.Heard("b", 3, 0, 0, nil, 21*second)
+			d.Heard(reign.Heartbeat{VM: "b", Version: 3, Echo: 0, Promise: 0}, 21*second)
 		}, 22 * second, false},
 	} {
 		d := duty()
@@ -163,7 +165,9 @@
 	missing := func(d time.Duration) reign.Entry { return reign.Entry{Missing: d} }
 	report := func(r reign.Report) func(*reign.Duty) {
 		r.Epoch = 1
-		return func(d *reign.Duty) { d.Heard("b", 1, 0, 0, map[string]reign.Report{"g": r}, 20*second) }
+		return func(d *reign.Duty) {
+			d.Heard(reign.Heartbeat{VM: "b", Version: 1, Reports: map[string]reign.Report{"g": r}}, 20*second)
+		}
 	}
 	for _, tc := range []struct {
 		name  string
@@ -183,10 +187,10 @@
 		{"entry lapsed in an outage of the store", func(*reign.Duty) {}, missing(2 * second), reign.CauseNone},
 		{"one fails, another reaches it", func(d *reign.Duty) {
 			report(reign.Report{OKAge: 9 * second, Failing: 9 * second})(d)
-			d.Heard("c", 1, 0, 0, map[string]reign.Report{"g": {Epoch: 1, OKAge: second / 10}}, 20*second)
+			d.Heard(reign.Heartbeat{VM: "c", Version: 1, Reports: map[string]reign.Report{"g": {Epoch: 1, OKAge: second / 10}}}, 20*second)
 		}, entry, reign.CauseNone},
 		{"report of an earlier epoch", func(d *reign.Duty) {
-			d.Heard("b", 1, 0, 0, map[string]reign.Report{"g": {Epoch: 0, OKAge: 9 * second, Failing: 9 * second}}, 20*second)
+			d.Heard(reign.Heartbeat{VM: "b", Version: 1, Reports: map[string]reign.Report{"g": {Epoch: 0, OKAge: 9 * second, Failing: 9 * second}}}, 20*second)
 		}, entry, reign.CauseNone},
 	} {
 		d := duty()
@@ -223,3 +227,16 @@
 		t.Error("no candidates: got one, want none")
 	}
 }
+
+// A small VM that takes the duty over in a large fleet can't answer all others in
+// time, and is taken for dead in turn.
+func TestPowerfulMembersComeFirst(t *testing.T) {
+	d := duty()
+	for vm, power := range map[string]float64{"a": 0.2, "b": 0.8, "c": 0.2, "d": 0.8} {
+		d.Heard(reign.Heartbeat{VM: vm, Power: power}, 20*second)
+	}
+	got, changed := d.Members(20 * second)
+	if want := "b d a c"; strings.Join(got, " ") != want || !changed {
+		t.Errorf("got %v (changed %v), want %s", got, changed, want)
+	}
+}
--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -31,6 +31,13 @@
 		{"escrow", "ANYEPOCH"},
 		{"escrow", "EARLYDROP"},
 		{"escrow", "GRANTTWICE"},
+		{"lease", ""},
+		{"lease", "NOWAIT"},
+		{"lease", "FROMANSWER"},
+		{"lease", "NOCHECK"},
+		{"lease", "NOPROOF"},
+		{"lease", "STALETOKEN"},
+		{"lease", "NOSETTLE"},
 	}
 	for _, tc := range tests {
 		t.Run(tc.model+tc.mutant, func(t *testing.T) {
