reign, fleet: an ordered promotion is written down before it is ordered

The record now names the target before the order, and from then on the old primary is not used again. Ruled out: leases (all members had adopted the move), tokens. Test: reign TestNext. Also: the most powerful VM takes over when the store comes back, silent members are struck off after 3.5 s.

--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -34,6 +34,8 @@
 	// other VMs as well, and relayedThrough through how many.
 	relayAfter     = 600 * time.Millisecond
 	relayedThrough = 3
+	// storeSeries bounds how long reads of the store count as one series.
+	storeSeries = 10 * time.Second
 	// promiseAfter is how long a read of the store goes unanswered before this VM
 	// counts as one that does not reach it.
 	promiseAfter = 250 * time.Millisecond
@@ -129,6 +131,7 @@
 	wanted    stamp                    // since when the holder of a token asks for promises, by this VM's clock
 	storeRead time.Duration            // start of this VM's last read of the record
 	storeOK   bool                     // it succeeded
+	storeFrom time.Duration            // start of the first of the reads that succeeded since one failed
 	differs   time.Duration            // since when the holder knows other targets, zero if not
 	renewing  bool
 	fetching  bool // a configuration from another VM
@@ -318,8 +321,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := reign.Sight{Self: b.vm.Settings.VM, Power: b.vm.Settings.CPU, Record: *r, Silent: silent, NoClaim: b.noClaim}
+	s.Store, s.StoreFor = b.storeOK && now-b.storeRead < tellAge, now-b.storeFrom
 	if w := b.wanted.echo(r.Token); w > 0 {
-		s.Without, s.Store = now-w, b.storeOK && now-b.storeRead < tellAge
+		s.Without = now - w
 	}
 	for _, p := range b.vm.view.Load().Peers {
 		if p.Name == b.vm.Settings.VM || p.Name == r.Holder {
@@ -357,6 +361,11 @@
 		o, err := v.Platform.Store.Get(ctx, recordName)
 		b.mu.Lock()
 		b.renewing, b.storeOK = false, err == nil
+		if err != nil {
+			b.storeFrom = 0
+		} else if b.storeFrom == 0 || sent-b.storeFrom > storeSeries {
+			b.storeFrom = sent
+		}
 		b.mu.Unlock()
 		if err != nil {
 			v.stats.StoreErrors.Add(1)
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -420,7 +420,7 @@
 			continue
 		}
 		if g.Moving {
-			d.start(name, func() { d.move(ctx, name, g, "taken over from an earlier holder") })
+			d.start(name, func() { d.move(ctx, name, "taken over from an earlier holder") })
 			continue
 		}
 		if cause := d.state.Suspect(name, d.vm.targets.entry(g.Primary), now); cause != reign.CauseNone {
@@ -503,3 +503,10 @@
 	defer d.mu.Unlock()
 	return d.state.Record.Token
 }
+
+// group returns a group's agreed state.
+func (d *duty) group(name string) reign.Group {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state.Record.Groups[name]
+}
--- a/fleet/move.go
+++ b/fleet/move.go
@@ -135,7 +135,7 @@
 		v.Log.Warn().Err(err).Str("group", name).Msg("replacement not recorded")
 		return
 	}
-	d.move(ctx, name, g.Move(planned), string(cause))
+	d.move(ctx, name, string(cause))
 }
 
 // hasSuccessor reports whether a group has a target that stays.
@@ -150,7 +150,7 @@
 
 // move promotes another target, or settles on the old one if it turns out to
 // lead and to stay.
-func (d *duty) move(ctx context.Context, name string, g reign.Group, cause string) {
+func (d *duty) move(ctx context.Context, name, cause string) {
 	v := d.vm
 	start := clock.Now()
 	if !d.dropped(ctx, name) {
@@ -158,6 +158,7 @@
 	}
 	dropped := clock.Now()
 	for ctx.Err() == nil && d.holds() {
+		g := d.group(name)
 		c, promote := d.successor(ctx, name, g)
 		if c == nil {
 			pollendoor.Pause(ctx, foundPause)
@@ -166,7 +167,7 @@
 		term := c.Status.Term
 		if promote {
 			var ok bool
-			if term, ok = d.promote(ctx, name, g, c.Target); !ok {
+			if term, ok = d.promote(ctx, name, c.Target); !ok {
 				pollendoor.Pause(ctx, busyPause)
 				continue
 			}
@@ -214,51 +215,30 @@
 	return false
 }
 
-// successor chooses the target that shall lead. It reports false if that is the
-// old primary, which needs no promotion.
+// successor chooses the target that shall lead, and whether it has to be promoted.
+// In a planned change it waits a while until that target has received all.
 func (d *duty) successor(ctx context.Context, name string, g reign.Group) (*reign.Candidate, bool) {
 	v := d.vm
 	until := clock.Now() + catchUpTime
 	for {
-		all := v.statuses(ctx, v.targets.group(name))
-		var old *reign.Candidate
-		var rest []reign.Candidate
-		for _, c := range all {
-			switch {
-			case c.Status.Role == pollendoor.Primary && (old == nil || c.Status.Term > old.Status.Term):
-				old = &c
-			default:
-				rest = append(rest, c)
-			}
-		}
-		if old != nil && !old.Target.Draining {
-			return old, false
-		}
-		var stay []reign.Candidate
-		for _, c := range rest {
-			if !c.Target.Draining {
-				stay = append(stay, c)
-			}
-		}
-		if len(stay) == 0 {
-			stay = rest
-		}
-		best, ok := reign.Successor(stay)
+		list := v.statuses(ctx, v.targets.group(name))
+		next, promote, ok := reign.Next(g, list)
 		if !ok {
-			if old != nil {
-				return old, false
-			}
 			return nil, false
 		}
-		if old == nil || best.Status.Index >= old.Status.Index || clock.Now() > until {
-			return &best, true
+		received := true
+		for _, c := range list {
+			received = received && (c.Target.ID != g.Primary || next.Status.Index >= c.Status.Index)
+		}
+		if !promote || received || !g.Planned || clock.Now() > until {
+			return &next, promote
 		}
 		pollendoor.Pause(ctx, busyPause)
 	}
 }
 
 // promote orders a promotion and waits until the target leads.
-func (d *duty) promote(ctx context.Context, name string, g reign.Group, t pollendoor.TargetInfo) (pollendoor.Term, bool) {
+func (d *duty) promote(ctx context.Context, name string, t pollendoor.TargetInfo) (pollendoor.Term, bool) {
 	v := d.vm
 	for {
 		d.mu.Lock()
@@ -269,8 +249,12 @@
 		}
 		pollendoor.Pause(ctx, dropPoll)
 	}
+	// Writing the order down proves the duty as well.
 	proved := clock.Now()
-	if err := d.confirm(ctx); err != nil {
+	err := d.write(ctx, func(r reign.Record) reign.Record {
+		return r.WithGroup(name, r.Groups[name].Order(t.ID))
+	})
+	if err != nil {
 		v.Log.Warn().Err(err).Str("group", name).Msg("not promoting: the duty is not certain")
 		return 0, false
 	}
--- a/reign/duty.go
+++ b/reign/duty.go
@@ -11,7 +11,7 @@
 const (
 	// memberSilence is how long a member is silent before it is struck off: its
 	// lease and its shares of rates have run out by then.
-	memberSilence = 6 * time.Second
+	memberSilence = 3500 * time.Millisecond
 	// fresh is how old a member's report may be to count.
 	fresh = 1200 * time.Millisecond
 	// doubtTime is how long nobody has reached a primary before it is replaced:
@@ -278,6 +278,34 @@
 	Status pollendoor.TargetStatus
 }
 
+// Next decides who leads a moving group next: a target that already does, or one
+// to promote. It reports false if no target can.
+func Next(g Group, list []Candidate) (next Candidate, promote, ok bool) {
+	var leader *Candidate
+	var rest, stay []Candidate
+	for _, c := range list {
+		switch {
+		case c.Status.Role != pollendoor.Primary:
+			rest = append(rest, c)
+			if !c.Target.Draining {
+				stay = append(stay, c)
+			}
+		case c.Status.Term < g.Term || c.Status.Term == g.Term && g.Ordered != "":
+			// It has lost its log, or another one may lead the next term.
+		case leader == nil || c.Status.Term > leader.Status.Term:
+			leader = &c
+		}
+	}
+	if leader != nil && (!leader.Target.Draining || len(rest) == 0) {
+		return *leader, false, true
+	}
+	if len(stay) == 0 {
+		stay = rest
+	}
+	next, ok = Successor(stay)
+	return next, true, ok
+}
+
 // Successor chooses the target to promote: the one whose log reaches furthest,
 // and of equals one that stays.
 func Successor(list []Candidate) (Candidate, bool) {
--- a/reign/lease.go
+++ b/reign/lease.go
@@ -61,7 +61,7 @@
 const weakDelay = 500 * time.Millisecond
 
 // rankDelay spreads the claims of the members.
-const rankDelay = 120 * time.Millisecond
+const rankDelay = 100 * time.Millisecond
 
 // Sight is what a VM knows when it considers to take the duty over.
 type Sight struct {
@@ -75,6 +75,7 @@
 	HeardByAt int           // of them, those that heard the holder lately
 	Without   time.Duration // since the holder says that it does not reach the store
 	Store     bool          // this VM has reached the store just now
+	StoreFor  time.Duration // since when it does
 }
 
 // MayClaim decides whether a VM claims the duty now.
@@ -94,15 +95,21 @@
 			rank = i
 		}
 	}
+	turn := time.Duration(rank) * rankDelay
+	if s.Store && s.StoreFor < turn {
+		// The store has just come back, and all have waited long enough: the most
+		// powerful go first then, too.
+		return false
+	}
 	if s.Without > 0 && s.Store {
 		// It can neither promote nor learn of changes. Its leases end, as this VM
 		// has not promised anything.
-		return s.Without >= withoutStore+time.Duration(rank)*rankDelay
+		return s.Without >= withoutStore+turn
 	}
 	if s.HeardByAt > 0 {
 		return false
 	}
-	wait := TakeoverAfter + time.Duration(rank)*rankDelay
+	wait := TakeoverAfter + turn
 	if !s.Record.Member(s.Self) || 2*s.Answered < s.Others {
 		wait += loneTakeover
 	}
--- a/reign/record.go
+++ b/reign/record.go
@@ -41,6 +41,10 @@
 	Term    pollendoor.Term `json:"term" cbor:"3,keyasint"`              // that the primary leads
 	Moving  bool            `json:"moving" cbor:"4,keyasint,omitempty"`  // being replaced: nobody may use it
 	Planned bool            `json:"planned" cbor:"5,keyasint,omitempty"` // the old primary is well
+	// Ordered is the target whose promotion may have been ordered. From then on
+	// the old primary is not used again, whoever holds the duty: the order may
+	// take effect at any later time.
+	Ordered string `json:"ordered,omitempty" cbor:"6,keyasint,omitempty"`
 }
 
 // Record is what the fleet agrees on. Every write of it grows Version.
@@ -99,6 +103,13 @@
 	return g
 }
 
+// Order returns the state of a moving group before the promotion of a target is
+// ordered.
+func (g Group) Order(target string) Group {
+	g.Ordered = target
+	return g
+}
+
 // Settle returns the state of a group that is led by another target.
 func (g Group) Settle(target string, t pollendoor.Term) Group {
 	return Group{Epoch: g.Epoch + 1, Primary: target, Term: t}
--- a/reign/reign_test.go
+++ b/reign/reign_test.go
@@ -79,7 +79,11 @@
 		{"earlier process of this VM", with(func(s *reign.Sight) { s.Record.Holder, s.Silent, s.HeardByAt = "b", 0, 1 }), true},
 		{"nobody holds it", with(func(s *reign.Sight) { s.Record.Holder, s.Silent, s.Power = "", 0, 1 }), true},
 		{"nobody holds it, a weak VM has just started", with(func(s *reign.Sight) { s.Record.Holder, s.Silent, s.Power = "", 0, 0.2 }), false},
-		{"holder without the store, this VM with it", with(func(s *reign.Sight) { s.Silent, s.HeardByAt, s.Without, s.Store = 0, 1, 2*second, true }), true},
+		{"holder without the store, this VM with it", with(func(s *reign.Sight) {
+			s.Silent, s.HeardByAt, s.Without, s.Store = 0, 1, 2*second, true
+			s.StoreFor = second
+		}), true},
+		{"store has just come back, another one's turn", with(func(s *reign.Sight) { s.Store, s.StoreFor = true, time.Millisecond }), false},
 		{"holder and this VM without the store", with(func(s *reign.Sight) { s.Silent, s.HeardByAt, s.Without = 0, 1, 2*second }), false},
 		{"holder without the store for a moment", with(func(s *reign.Sight) { s.Silent, s.HeardByAt, s.Without, s.Store = 0, 1, 100*time.Millisecond, true }), false},
 		{"holder without the store, promised not to", with(func(s *reign.Sight) { s.Silent, s.Without, s.Store, s.NoClaim = 0, 2*second, true, 21*second }), false},
@@ -201,6 +205,48 @@
 	}
 }
 
+// An earlier holder has ordered a promotion that takes effect a second later, and
+// the old primary still says that it leads: settling on it once acknowledged
+// writes at a superseded primary (found on cca trouble-1, a cut in which the duty
+// was taken over between order and effect).
+func TestNext(t *testing.T) {
+	p := func(id string, term uint64, draining bool) reign.Candidate {
+		return reign.Candidate{
+			Target: pollendoor.TargetInfo{ID: id, Draining: draining},
+			Status: pollendoor.TargetStatus{Role: pollendoor.Primary, Term: pollendoor.Term(term)},
+		}
+	}
+	r := func(id string, index uint64) reign.Candidate {
+		return reign.Candidate{
+			Target: pollendoor.TargetInfo{ID: id},
+			Status: pollendoor.TargetStatus{Role: pollendoor.Replica, Term: 1, LastTerm: 1, Index: index},
+		}
+	}
+	moving := reign.Group{Epoch: 1, Primary: "old", Term: 1}.Move(false)
+	for _, tc := range []struct {
+		name    string
+		g       reign.Group
+		list    []reign.Candidate
+		want    string
+		promote bool
+	}{
+		{"false alarm", moving, []reign.Candidate{p("old", 1, false), r("a", 5)}, "old", false},
+		{"old primary is dark", moving, []reign.Candidate{r("a", 5), r("b", 6)}, "b", true},
+		{"old primary leaves", moving, []reign.Candidate{p("old", 1, true), r("a", 5)}, "a", true},
+		{"old primary leaves, nobody else", moving, []reign.Candidate{p("old", 1, true)}, "old", false},
+		{"promotion ordered, not in effect yet", moving.Order("a"), []reign.Candidate{p("old", 1, false), r("a", 5)}, "a", true},
+		{"promotion ordered, its target not reached", moving.Order("a"), []reign.Candidate{p("old", 1, false)}, "", true},
+		{"promotion in effect, old primary unaware", moving.Order("a"), []reign.Candidate{p("old", 1, false), p("a", 2, false)}, "a", false},
+		{"primary started anew without its log", reign.Group{Term: 3}.Move(false), []reign.Candidate{p("old", 1, false), r("a", 5)}, "a", true},
+		{"nobody answers", moving, nil, "", true},
+	} {
+		got, promote, ok := reign.Next(tc.g, tc.list)
+		if got.Target.ID != tc.want || promote != tc.promote || ok != (tc.want != "") {
+			t.Errorf("%s: got %q (promote %v), want %q (promote %v)", tc.name, got.Target.ID, promote, tc.want, tc.promote)
+		}
+	}
+}
+
 func TestSuccessor(t *testing.T) {
 	c := func(id string, term, index uint64, draining bool) reign.Candidate {
 		return reign.Candidate{
