--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -123,12 +123,12 @@
 	answered  time.Duration // arrival of the holder's last answer
 	started   time.Duration
 	changed   time.Duration // when the holder changed
-	stamp     stamp         // of that answer
+	stamp     reign.Stamp   // of that answer
 	noClaim   time.Duration // until then this VM has promised not to claim
 	told      map[string]tell
 	sentIndex map[string]sample.Sample // newest sample reported, by group
 	adopted   time.Duration            // send time of the last heartbeat whose shares were adopted
-	wanted    stamp                    // since when the holder of a token asks for promises, by this VM's clock
+	wanted    reign.Stamp              // since when the holder of a token asks for promises, by this VM's clock
 	storeRead time.Duration            // start of this VM's last read of the record
 	storeOK   bool                     // it succeeded
 	storeFrom time.Duration            // start of the first of the reads that succeeded since one failed
@@ -138,22 +138,6 @@
 	listing   bool // targets from another VM
 }
 
-// stamp is a time on the clock of one holder. It means nothing to another one:
-// each VM has a boot clock of its own.
-type stamp struct {
-	token uint64
-	at    time.Duration
-}
-
-// echo returns the stamp for a packet to the holder of a token, zero if it is
-// another one's.
-func (s stamp) echo(token uint64) time.Duration {
-	if s.token != token {
-		return 0
-	}
-	return s.at
-}
-
 // tell is another VM's word on the holder.
 type tell struct {
 	at    time.Duration
@@ -244,7 +228,7 @@
 	}
 	b.mu.Lock()
 	silent := now - max(b.answered, b.started)
-	wanted := b.wanted.echo(r.Token) > 0
+	wanted := b.wanted.Echo(r.Token) > 0
 	b.mu.Unlock()
 	if r.Holder != "" && r.Holder != v.Settings.VM {
 		p := b.heartbeat(&r, now)
@@ -284,8 +268,8 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	p.Echo = b.stamp.echo(r.Token)
-	if w := b.wanted.echo(r.Token); w > 0 && b.storeRead > w && !b.storeOK && now-b.storeRead > promiseAfter && p.Echo > 0 && now-b.answered < selfLeaseAfter {
+	p.Echo = b.stamp.Echo(r.Token)
+	if w := b.wanted.Echo(r.Token); w > 0 && b.storeRead > w && !b.storeOK && now-b.storeRead > promiseAfter && p.Echo > 0 && now-b.answered < selfLeaseAfter {
 		// Neither the holder nor this VM reaches the store.
 		p.Promise = reign.PromiseTime
 		b.noClaim = max(b.noClaim, now+reign.PromiseTime)
@@ -322,7 +306,7 @@
 	defer b.mu.Unlock()
 	s := reign.Sight{Self: b.vm.Settings.VM, Power: b.vm.Settings.CPU, Record: *r, Silent: silent, NoClaim: b.noClaim}
 	s.Store, s.StoreFor = b.storeOK && now-b.storeRead < tellAge, now-b.storeFrom
-	if w := b.wanted.echo(r.Token); w > 0 {
+	if w := b.wanted.Echo(r.Token); w > 0 {
 		s.Without = now - w
 	}
 	for _, p := range b.vm.view.Load().Peers {
@@ -510,11 +494,11 @@
 		v.changeLease(func(l *reign.Lease) bool { return l.Adopt(r, p.Echo, p.Lease) })
 	}
 	b.mu.Lock()
-	b.answered, b.stamp = now, stamp{p.Token, p.Stamp}
+	b.answered, b.stamp = now, reign.Stamp{Token: p.Token, At: p.Stamp}
 	if !p.Want {
-		b.wanted = stamp{}
-	} else if b.wanted.token != p.Token {
-		b.wanted = stamp{p.Token, now}
+		b.wanted = reign.Stamp{}
+	} else if b.wanted.Token != p.Token {
+		b.wanted = reign.Stamp{Token: p.Token, At: now}
 	}
 	fresh := p.Echo > b.adopted
 	if fresh {
--- a/reign/record.go
+++ b/reign/record.go
@@ -34,6 +34,21 @@
 // ClockSlack covers the difference in speed of two VMs' clocks over a lease.
 const ClockSlack = 50 * time.Millisecond
 
+// Stamp is a time that counts for the holder of one token only. Each VM has a boot
+// clock of its own, so the time of one holder means nothing to the next.
+type Stamp struct {
+	Token uint64
+	At    time.Duration
+}
+
+// Echo returns the time for the holder of a token, zero if it is another one's.
+func (s Stamp) Echo(token uint64) time.Duration {
+	if s.Token != token {
+		return 0
+	}
+	return s.At
+}
+
 // Group is the agreed state of one database group.
 type Group struct {
 	Epoch   uint64          `json:"epoch" cbor:"1,keyasint"`             // grows with each change of primary
--- a/reign/reign_test.go
+++ b/reign/reign_test.go
@@ -286,3 +286,15 @@
 		t.Errorf("got %v (changed %v), want %s", got, changed, want)
 	}
 }
+
+// The duty changes hands: samples that were aged by the old holder's clock once let
+// stale reads through (found on presente-comum trouble-3).
+func TestStampIsOfOneHolder(t *testing.T) {
+	s := reign.Stamp{Token: 3, At: 5 * second}
+	if got, want := s.Echo(3), 5*second; got != want {
+		t.Errorf("same holder: got %v, want %v", got, want)
+	}
+	if got := s.Echo(4); got != 0 {
+		t.Errorf("next holder: got %v, want none", got)
+	}
+}
