--- a/fakes/exec.go
+++ b/fakes/exec.go
@@ -45,7 +45,7 @@
 		return nil, err
 	}
 	defer s.release()
-	if !s.control {
+	if !s.control.Load() {
 		s.target.done.Add(1)
 	}
 	if c.Kind == route.Read {
--- a/fakes/target.go
+++ b/fakes/target.go
@@ -290,7 +290,7 @@
 	t.epoch.Add(1)
 	t.work.run(statement{SQL: "ROLLBACK"}) // fails if none is open
 	for c, s := range t.live {
-		if s != nil && !s.control {
+		if s != nil && !s.control.Load() {
 			c.Close()
 		}
 	}
--- a/fakes/wire.go
+++ b/fakes/wire.go
@@ -9,6 +9,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,7 +46,7 @@
 	back    *pgproto3.Backend
 	pid     uint32
 	secret  []byte
-	control bool
+	control atomic.Bool
 	zone    string // that the other end says it is in
 	cancel  chan struct{}
 
@@ -101,7 +102,7 @@
 		t.mu.Unlock()
 	}()
 	ok, err := s.startup()
-	if !s.control && ok {
+	if !s.control.Load() && ok {
 		defer t.conns.Add(-1)
 	}
 	if err != nil || !ok {
@@ -153,7 +154,8 @@
 func (s *session) login(m *pgproto3.StartupMessage) (bool, error) {
 	t := s.target
 	app, zone, _ := strings.Cut(m.Parameters["application_name"], "@")
-	s.control, s.zone = app == pgwire.ControlApp, zone
+	s.control.Store(app == pgwire.ControlApp)
+	s.zone = zone
 	s.waitThaw()
 	s.back.Send(&pgproto3.AuthenticationCleartextPassword{})
 	if err := s.back.Flush(); err != nil {
@@ -169,10 +171,10 @@
 		s.sendError(&pgwire.ServerError{Code: "28P01", Message: "password authentication failed"})
 		return false, s.back.Flush()
 	}
-	if !s.control {
+	if !s.control.Load() {
 		if n := t.conns.Add(1); t.opt.Connections > 0 && int(n) > t.opt.Connections {
 			t.conns.Add(-1)
-			s.control = true // not counted
+			s.control.Store(true) // not counted
 			s.sendError(&pgwire.ServerError{Code: "53300", Message: "too many connections"})
 			return false, s.back.Flush()
 		}
@@ -368,7 +370,7 @@
 	default:
 		return nil, false, nil
 	}
-	if !s.control {
+	if !s.control.Load() {
 		return nil, true, errors.New("control commands want a control connection")
 	}
 	raw, _ := json.Marshal(st)
