--- a/caller/choose.go
+++ b/caller/choose.go
@@ -14,6 +14,9 @@
 	regionCost = 250 * time.Millisecond
 	// zoneCost is the same for another zone of the region.
 	zoneCost = 20 * time.Millisecond
+	// failingCost is the wait that a read takes into account rather than going to a
+	// target that fails everything; one that fails a part counts for that part.
+	failingCost = time.Second
 	// primaryCost keeps reads off the primary, which has writes to serve.
 	primaryCost = 15 * time.Millisecond
 )
@@ -37,6 +40,7 @@
 		case pollendoor.SameRegion:
 			d += zoneCost
 		}
+		d += time.Duration(r.Failing * float64(failingCost))
 		if r.Target.ID == lead {
 			d += primaryCost
 		}
--- a/caller/operation.go
+++ b/caller/operation.go
@@ -81,6 +81,9 @@
 			return r
 		}
 		again := r.Code.NotRun() && !r.Lost || !o.work.Write && (r.Lost || r.Code == pollendoor.ErrAborted)
+		if !o.work.Write && r.Code == pollendoor.ErrFailed && o.decision.Attempts == 1 {
+			again = true // one target may fail what another one answers
+		}
 		if !again || o.left() < leastTime {
 			break
 		}
@@ -162,9 +165,7 @@
 // of a primary counts only if its reign lasted until the answer was there.
 func (o *operation) judge(r pollendoor.Reply, p place, leased bool, epoch uint64) pollendoor.Reply {
 	c := o.session.cluster
-	if r.Code == pollendoor.ErrLagging {
-		c.Lagged(p.target.ID)
-	}
+	c.Answered(p.target.ID, &r)
 	if r.Code != "" || r.Lost {
 		o.decision.Tried = append(o.decision.Tried, p.target.ID+" "+cmp.Or(string(r.Code), "lost"))
 	}
--- a/cluster.go
+++ b/cluster.go
@@ -34,6 +34,7 @@
 	Distance Distance
 	Delay    time.Duration // expected wait at its home
 	Behind   bool          // it lately lacked a position that it should hold
+	Failing  float64       // part of its answers lately that were failures
 }
 
 // Cluster is what a VM knows of groups and targets, and its way to them. Its
@@ -53,8 +54,8 @@
 	PositionSince(group string, since time.Duration) (Position, time.Duration, bool)
 	// Replicas returns the targets of a group that take new work.
 	Replicas(group string) []ReadTarget
-	// Lagged notes that a target lacked a position.
-	Lagged(target string)
+	// Answered notes how a target answered, for the choice of the next one.
+	Answered(target string, r *Reply)
 	// Open returns a turn at a target.
 	Open(t TargetInfo, team string) Turn
 	// Decided is told of each statement's outcome.
--- a/fleet/cluster.go
+++ b/fleet/cluster.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"time"
 
 	"github.com/pollendoor/pollendoor"
@@ -85,7 +86,7 @@
 		if t.Draining {
 			continue
 		}
-		r := pollendoor.ReadTarget{Target: t, Distance: v.distance(t.Zone), Delay: v.homes.delay(t.ID, now)}
+		r := pollendoor.ReadTarget{Target: t, Distance: v.distance(t.Zone), Delay: v.homes.delay(t.ID, now), Failing: v.failingPart(t.ID, now)}
 		if until, ok := v.lags.Load(t.ID); ok {
 			r.Behind = now < until.(lag).until
 		}
@@ -104,8 +105,64 @@
 	return pollendoor.OtherRegion
 }
 
-// Lagged notes that a target lacked a position.
-func (v *VM) Lagged(target string) {
+// failWeight is the weight of one answer in the moving average of a target's
+// failures: some ten answers tell a target that fails a part of its work.
+const failWeight = 0.1
+
+// failMemory is how fast a target's failures are forgotten.
+const failMemory = 3 * time.Second
+
+// Answered notes how a target answered, by the answers that callers get: a target
+// may call itself well and fail half of its work.
+func (v *VM) Answered(target string, r *pollendoor.Reply) {
+	switch {
+	case r.Code == pollendoor.ErrLagging:
+		v.lagged(target)
+		return
+	case r.Lost || r.Code == pollendoor.ErrFailed || r.Code == pollendoor.ErrTimeout || r.Code == pollendoor.ErrMisrouted:
+		v.failed(target, 1)
+	case r.Code == "":
+		v.failed(target, 0)
+	}
+}
+
+// failures is the part of a target's answers that were failures, at a time.
+type failures struct {
+	part float64
+	at   time.Duration
+}
+
+// now returns the part as it counts now: a target that nobody asks is tried again.
+func (f failures) now(now time.Duration) float64 {
+	return f.part * math.Exp(-(now-f.at).Seconds()/failMemory.Seconds())
+}
+
+// failed updates the part of a target's answers that were failures.
+func (v *VM) failed(target string, answer float64) {
+	now := clock.Now()
+	v.failMu.Lock()
+	defer v.failMu.Unlock()
+	if v.failing == nil {
+		v.failing = make(map[string]failures)
+	}
+	part := v.failing[target].now(now)
+	part += (answer - part) * failWeight
+	if part < failWeight/10 {
+		delete(v.failing, target) // most targets, most of the time
+		return
+	}
+	v.failing[target] = failures{part, now}
+}
+
+// failingPart returns the part of a target's answers that were failures.
+func (v *VM) failingPart(target string, now time.Duration) float64 {
+	v.failMu.Lock()
+	defer v.failMu.Unlock()
+	return v.failing[target].now(now)
+}
+
+// lagged notes that a target lacked a position.
+func (v *VM) lagged(target string) {
 	v.stats.Lagging.Add(1)
 	now := clock.Now()
 	l := lag{next: behindTime}
--- a/fleet/vm.go
+++ b/fleet/vm.go
@@ -73,6 +73,9 @@
 	rings sync.Map // *sample.Ring by group
 	fates sync.Map // *fate by group
 	lags  sync.Map // lag by target id
+
+	failMu  sync.Mutex
+	failing map[string]failures // by target, for those that fail
 }
 
 // configVersion is a configuration with its text, for other VMs.
