--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -16,7 +16,6 @@
 	"github.com/pollendoor/pollendoor/clock"
 	"github.com/pollendoor/pollendoor/reign"
 	"github.com/pollendoor/pollendoor/sample"
-	"github.com/pollendoor/pollendoor/share"
 )
 
 const (
@@ -55,63 +54,6 @@
 	maxPacket = 64 << 10
 )
 
-// packetKind tells the datagrams between VMs apart.
-type packetKind uint8
-
-const (
-	packetBeat     packetKind = iota + 1 // a VM to the duty holder
-	packetAnswer                         // its answer
-	packetPoke                           // the holder tells its record and asks for a heartbeat now
-	packetAsk                            // a VM asks another whether it hears the holder
-	packetTell                           // its answer
-	packetNews                           // a zone's watcher has learned something
-	packetAdmit                          // a VM asks the keeper of a team's rate for an operation
-	packetAdmitted                       // its answer: Want if admitted, after a wait of Lease
-)
-
-// position is a sample in a datagram. Since is counted from the echoed stamp's
-// arrival in a heartbeat, and from the heartbeat's arrival in an answer: both
-// take the sample for older than it is.
-type position struct {
-	Since time.Duration   `cbor:"1,keyasint"`
-	Term  pollendoor.Term `cbor:"2,keyasint"`
-	Index uint64          `cbor:"3,keyasint"`
-}
-
-// packet is a datagram between VMs.
-type packet struct {
-	Kind  packetKind    `cbor:"1,keyasint"`
-	From  peer          `cbor:"2,keyasint"`
-	Token uint64        `cbor:"3,keyasint,omitempty"`
-	Stamp time.Duration `cbor:"4,keyasint,omitempty"` // sender's clock
-	Echo  time.Duration `cbor:"5,keyasint,omitempty"` // Stamp of the packet answered, or last received
-
-	// Of a heartbeat.
-	Version  uint64                  `cbor:"6,keyasint,omitempty"` // of the record adopted
-	Promise  time.Duration           `cbor:"7,keyasint,omitempty"` // no claim for so long after Echo
-	Reports  map[string]reign.Report `cbor:"8,keyasint,omitempty"`
-	Held     map[string]share.Held   `cbor:"9,keyasint,omitempty"`
-	ShareSeq uint64                  `cbor:"10,keyasint,omitempty"`
-	ViewSeen uint64                  `cbor:"11,keyasint,omitempty"`
-	Power    float64                 `cbor:"25,keyasint,omitempty"` // share of a core
-	Run      uint64                  `cbor:"21,keyasint,omitempty"` // identifies the process
-
-	// Of an answer.
-	Lease  time.Duration      `cbor:"12,keyasint,omitempty"`
-	Record *storedRecord      `cbor:"13,keyasint,omitempty"` // if Version is not the newest
-	View   *view              `cbor:"14,keyasint,omitempty"` // if ViewSeen is not the newest
-	Shares map[string]float64 `cbor:"15,keyasint,omitempty"`
-	Digest uint64             `cbor:"20,keyasint,omitempty"` // of the holder's targets
-	Want   bool               `cbor:"19,keyasint,omitempty"` // the holder needs promises: it does not reach the store
-
-	Config    uint64              `cbor:"16,keyasint,omitempty"` // version in force at the sender
-	Positions map[string]position `cbor:"17,keyasint,omitempty"` // of primaries, by group
-	Relay     string              `cbor:"22,keyasint,omitempty"` // VM's IP through which a heartbeat came
-	To        string              `cbor:"23,keyasint,omitempty"` // VM's IP that an answer is for
-	Team      string              `cbor:"24,keyasint,omitempty"` // whose rate is asked for
-	Age       time.Duration       `cbor:"18,keyasint,omitempty"` // of a tell: since the holder answered
-}
-
 // beat exchanges datagrams with other VMs.
 type beat struct {
 	vm     *VM
@@ -138,13 +80,6 @@
 	listing   bool // targets from another VM
 }
 
-// tell is another VM's word on the holder.
-type tell struct {
-	at    time.Duration
-	token uint64
-	age   time.Duration
-}
-
 func (b *beat) listen() error {
 	b.woken = make(chan struct{}, 1)
 	b.started = clock.Now()
@@ -291,83 +226,6 @@
 	return p
 }
 
-// ask asks the other VMs whether they hear the holder.
-func (b *beat) ask(r *reign.Record, now time.Duration) {
-	for _, p := range b.vm.view.Load().Peers {
-		if p.Name != b.vm.Settings.VM && p.Name != r.Holder {
-			b.write(p.IP, &packet{Kind: packetAsk, Token: r.Token, Stamp: now})
-		}
-	}
-}
-
-// sight is what the decision on a takeover needs.
-func (b *beat) sight(r *reign.Record, silent, now time.Duration) reign.Sight {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := reign.Sight{Self: b.vm.Settings.VM, Power: b.vm.Settings.CPU, Record: *r, Silent: silent, NoClaim: b.noClaim}
-	s.Store, s.StoreFor = b.storeOK && now-b.storeRead < tellAge, now-b.storeFrom
-	if w := b.wanted.Echo(r.Token); w > 0 {
-		s.Without = now - w
-	}
-	for _, p := range b.vm.view.Load().Peers {
-		if p.Name == b.vm.Settings.VM || p.Name == r.Holder {
-			continue
-		}
-		s.Others++
-		t, ok := b.told[p.Name]
-		if !ok || now-t.at > tellAge {
-			continue
-		}
-		s.Answered++
-		if t.token >= r.Token && t.age < heardLately {
-			s.HeardByAt++
-		}
-	}
-	return s
-}
-
-// renew asks the store whether the record still stands, which is as good as a
-// lease from the holder.
-func (b *beat) renew(ctx context.Context) {
-	b.mu.Lock()
-	busy := b.renewing || clock.Now()-b.storeRead < renewPause
-	b.renewing = b.renewing || !busy
-	b.mu.Unlock()
-	if busy {
-		return
-	}
-	go func() {
-		v := b.vm
-		sent := clock.Now()
-		b.mu.Lock()
-		b.storeRead, b.storeOK = sent, false
-		b.mu.Unlock()
-		o, err := v.Platform.Store.Get(ctx, recordName)
-		b.mu.Lock()
-		b.renewing, b.storeOK = false, err == nil
-		if err != nil {
-			b.storeFrom = 0
-		} else if b.storeFrom == 0 || sent-b.storeFrom > storeSeries {
-			b.storeFrom = sent
-		}
-		b.mu.Unlock()
-		if err != nil {
-			v.stats.StoreErrors.Add(1)
-			v.Log.Debug().Err(err).Msg("lease not renewed at the store")
-			return
-		}
-		r, err := decodeRecord(o)
-		if err != nil {
-			v.Log.Error().Err(err).Msg("record ignored")
-			return
-		}
-		v.learn(r, "own read")
-		if r.Member(v.Settings.VM) {
-			v.changeLease(func(l *reign.Lease) bool { return l.Adopt(r.Record, sent, reign.LeaseTime-reign.ClockSlack) })
-		}
-	}()
-}
-
 // receive handles datagrams until the socket is closed.
 func (b *beat) receive() {
 	buf := make([]byte, maxPacket)
@@ -445,20 +303,6 @@
 	}
 }
 
-// newHolder notes that another VM holds the duty. Its silence counts from now.
-func (b *beat) newHolder(now time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.answered, b.changed = now, now
-}
-
-// contact notes that the holder is there.
-func (b *beat) contact(now time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.answered = now
-}
-
 // relays sends a heartbeat through some other VMs, when the holder does not
 // answer the direct one.
 func (b *beat) relays(r *reign.Record, p *packet) {
@@ -517,116 +361,3 @@
 	}
 	b.compare(p.From, p.Config, p.Digest, now)
 }
-
-// compare catches up with another VM that knows a newer configuration or other
-// targets. A VM that watches the store gives its watch some time first.
-func (b *beat) compare(from peer, config, digest uint64, now time.Duration) {
-	v := b.vm
-	c := v.config.Load()
-	if config > 0 && (c == nil || c.Version < config) && b.start(&b.fetching) {
-		go b.catchUpConfig(from, config)
-	}
-	if digest == 0 || digest == v.targets.load().digest {
-		b.mu.Lock()
-		b.differs = 0
-		b.mu.Unlock()
-		return
-	}
-	b.mu.Lock()
-	if b.differs == 0 {
-		b.differs = now
-	}
-	late := now-b.differs > differPatience
-	b.mu.Unlock()
-	if late && v.watches() {
-		v.entries.nudge()
-	} else if (late || !v.watches()) && b.start(&b.listing) {
-		go b.catchUpTargets(from)
-	}
-}
-
-// start marks work as under way. It reports false if it is already.
-func (b *beat) start(busy *bool) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	was := *busy
-	*busy = true
-	return !was
-}
-
-func (b *beat) done(busy *bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	*busy = false
-}
-
-// sources returns the VMs to catch up from: the zone's watcher, which costs
-// nothing, and the one that is known to be ahead.
-func (b *beat) sources(from peer) []peer {
-	list := []peer{from}
-	if w, ok := watcherOf(b.vm.view.Load(), b.vm.Settings.Zone); ok && w != from && w != b.vm.self() {
-		list = []peer{w, from}
-	}
-	return list
-}
-
-// catchUpConfig takes a configuration over from another VM.
-func (b *beat) catchUpConfig(from peer, version uint64) {
-	defer b.done(&b.fetching)
-	v := b.vm
-	if v.watches() {
-		time.Sleep(configPatience)
-	}
-	for _, p := range b.sources(from) {
-		if c := v.config.Load(); c != nil && c.Version >= version {
-			return
-		}
-		r, err := v.lanes.ask(p, call{Config: true})
-		if err != nil || r.Config == nil {
-			v.Log.Warn().Err(err).Str("peer", p.Name).Msg("configuration not fetched from another VM")
-			continue
-		}
-		v.takeConfig(r.Config, p.Name)
-	}
-}
-
-// catchUpTargets takes the targets over from another VM.
-func (b *beat) catchUpTargets(from peer) {
-	defer b.done(&b.listing)
-	list := b.sources(from)
-	b.mu.Lock()
-	if b.differs > 0 && clock.Now()-b.differs > differPatience {
-		list = []peer{from} // the watcher does not know them either
-	}
-	b.mu.Unlock()
-	r, err := b.vm.lanes.ask(list[0], call{Targets: true})
-	if err != nil || len(r.Targets) == 0 {
-		b.vm.Log.Warn().Err(err).Str("peer", list[0].Name).Msg("targets not fetched from another VM")
-		return
-	}
-	b.vm.takeTargets(r.Targets)
-}
-
-// news tells the VMs of the zone that its watcher has learned something.
-func (b *beat) news() {
-	v := b.vm
-	if b.conn == nil || !v.watches() {
-		return
-	}
-	p := &packet{Kind: packetNews, Digest: v.targets.load().digest}
-	if c := v.config.Load(); c != nil {
-		p.Config = c.Version
-	}
-	for _, o := range v.view.Load().Peers {
-		if o.Zone == v.Settings.Zone && o.Name != v.Settings.VM {
-			b.write(o.IP, p)
-		}
-	}
-}
-
-// silent reports whether the holder has not answered for a while.
-func (b *beat) silent() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return clock.Now()-max(b.answered, b.started) > selfLeaseAfter
-}
--- /dev/null
+++ b/fleet/grant.go
@@ -0,0 +1,169 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/clock"
+	"github.com/pollendoor/pollendoor/reign"
+	"github.com/pollendoor/pollendoor/sample"
+	"github.com/pollendoor/pollendoor/share"
+)
+
+// serveSelf gives this VM what others get by heartbeats.
+func (d *duty) serveSelf(now time.Duration) {
+	v := d.vm
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	reports := make(map[string]reign.Report)
+	for name, g := range d.state.Record.Groups {
+		if r, _, ok := v.fate(name).report(g.Epoch, now); ok {
+			reports[name] = r
+		}
+	}
+	d.state.Heard(reign.Heartbeat{VM: v.Settings.VM, Version: d.state.Record.Version, Power: v.Settings.CPU, Reports: reports}, now)
+	if l := d.state.Lease(v.Settings.VM, now); l > 0 {
+		v.changeLease(func(own *reign.Lease) bool { return own.Adopt(d.state.Record, now, l) })
+	}
+	held, seq := v.buckets.Report(now)
+	if v.shareToken() != d.state.Record.Token {
+		seq = 0
+	}
+	shares, seq := d.pool.Renew(share.Report{VM: v.Settings.VM, Run: v.run, Seq: seq, Held: held}, d.sharers(), d.closed(now), now)
+	if c := v.Config(); c != nil {
+		v.setShareToken(d.state.Record.Token)
+		v.buckets.Adopt(shares, seq, c.Teams, now, now)
+	}
+	d.refreshView(now)
+	v.takeView(&d.view)
+	v.beat.contact(now)
+}
+
+// closed reports whether shares that an earlier holder granted may be in use
+// unknown to this one.
+func (d *duty) closed(now time.Duration) bool {
+	return !d.state.Complete() && now < d.state.Claimed+share.Life
+}
+
+// sharers returns how many VMs share a team's rate: one keeper in each zone.
+func (d *duty) sharers() int {
+	zones := make(map[string]bool)
+	for _, p := range d.view.Peers {
+		zones[p.Zone] = true
+	}
+	if d.state.Claimed+settleTime > clock.Now() {
+		// Just after a claim not all VMs have been heard.
+		for zone := range d.vm.Settings.Zones {
+			zones[zone] = true
+		}
+	}
+	return len(zones)
+}
+
+// refreshView follows the VMs that are heard.
+func (d *duty) refreshView(now time.Duration) {
+	list := make([]peer, 0, len(d.peers))
+	for _, name := range d.state.Live(now) {
+		if p, ok := d.peers[name]; ok {
+			list = append(list, p.peer)
+		}
+	}
+	same := len(list) == len(d.view.Peers)
+	for i := 0; same && i < len(list); i++ {
+		same = list[i] == d.view.Peers[i]
+	}
+	// A new holder keeps the view that it has until the others had time to
+	// report.
+	if !same && (now > d.state.Claimed+2*beatPeriod || len(list) > len(d.view.Peers)) {
+		d.view = view{Version: d.view.Version + 1, Peers: list}
+	}
+}
+
+// beat takes a heartbeat and returns the answer, nil if this VM is not the
+// holder.
+func (d *duty) beat(p *packet, now time.Duration) *packet {
+	v := d.vm
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.holding() {
+		return nil
+	}
+	r := d.state.Record
+	version := p.Version
+	if p.Token != r.Token {
+		// It speaks of an earlier holder's record, clock and shares.
+		version, p.Echo, p.ShareSeq, p.Positions = 0, 0, 0, nil
+	}
+	d.state.Heard(reign.Heartbeat{VM: p.From.Name, Version: version, Echo: p.Echo, Promise: p.Promise, Power: p.Power, Reports: p.Reports}, now)
+	d.peers[p.From.Name] = peerState{peer: p.From, config: p.Config}
+	d.refreshView(now)
+	a := &packet{
+		Kind: packetAnswer, Token: r.Token, Stamp: now, Echo: p.Stamp, Version: r.Version,
+		Lease: d.state.Lease(p.From.Name, now), Positions: make(map[string]position),
+		Relay: p.Relay, To: p.From.IP, Want: now-d.state.Confirmed > wantAfter, Digest: v.targets.load().digest,
+	}
+	if version != r.Version {
+		a.Record = &storedRecord{Record: r, Run: v.run}
+	}
+	if p.ViewSeen != d.view.Version {
+		w := d.view
+		a.View = &w
+	}
+	if c := v.config.Load(); c != nil {
+		a.Config = c.Version
+	}
+	for name, s := range p.Positions {
+		if p.Echo > 0 {
+			v.ring(name).Add(sample.Sample{Since: p.Echo + s.Since, Position: pollendoor.Position{Term: s.Term, Index: s.Index}})
+		}
+	}
+	for name := range r.Groups {
+		if s, ok := v.ring(name).Newest(); ok {
+			a.Positions[name] = position{Since: s.Since - now, Term: s.Position.Term, Index: s.Position.Index}
+		}
+	}
+	a.Shares, a.ShareSeq = d.pool.Renew(share.Report{VM: p.From.Name, Run: p.Run, Seq: p.ShareSeq, Held: p.Held}, d.sharers(), d.closed(now), now)
+	return a
+}
+
+// shareToken returns the token of the holder whose shares are in use.
+func (v *VM) shareToken() uint64 {
+	v.leaseMu.Lock()
+	defer v.leaseMu.Unlock()
+	return v.shareSeen
+}
+
+func (v *VM) setShareToken(t uint64) {
+	v.leaseMu.Lock()
+	defer v.leaseMu.Unlock()
+	v.shareSeen = t
+}
+
+// takeView follows the holder's view of the VMs.
+func (v *VM) takeView(w *view) {
+	old := v.view.Load()
+	if old.Version == w.Version {
+		return
+	}
+	n := *w
+	watched := v.watches()
+	v.view.Store(&n)
+	if watched && !v.watches() {
+		// Another VM watches the store for this zone from now on.
+		v.configs.nudge()
+		v.entries.nudge()
+	}
+	v.buckets.Configure(share.Slack{
+		Window: time.Duration(v.Settings.QuotaWindowS * float64(time.Second)),
+		Excess: v.Settings.QuotaExcess, Margin: v.Settings.QuotaMargin,
+	}, max(len(n.Peers), 1))
+	if c := v.Config(); c != nil {
+		v.buckets.Know(v.rates.kept(c), clock.Now())
+	}
+	v.homes.refresh()
+	names := make([]string, 0, len(n.Peers))
+	for _, p := range n.Peers {
+		names = append(names, p.Name)
+	}
+	v.Log.Info().Strs("vms", names).Uint64("version", n.Version).Msg("live VMs changed")
+}
--- /dev/null
+++ b/fleet/news.go
@@ -0,0 +1,113 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/pollendoor/pollendoor/clock"
+)
+
+// compare catches up with another VM that knows a newer configuration or other
+// targets. A VM that watches the store gives its watch some time first.
+func (b *beat) compare(from peer, config, digest uint64, now time.Duration) {
+	v := b.vm
+	c := v.config.Load()
+	if config > 0 && (c == nil || c.Version < config) && b.start(&b.fetching) {
+		go b.catchUpConfig(from, config)
+	}
+	if digest == 0 || digest == v.targets.load().digest {
+		b.mu.Lock()
+		b.differs = 0
+		b.mu.Unlock()
+		return
+	}
+	b.mu.Lock()
+	if b.differs == 0 {
+		b.differs = now
+	}
+	late := now-b.differs > differPatience
+	b.mu.Unlock()
+	if late && v.watches() {
+		v.entries.nudge()
+	} else if (late || !v.watches()) && b.start(&b.listing) {
+		go b.catchUpTargets(from)
+	}
+}
+
+// start marks work as under way. It reports false if it is already.
+func (b *beat) start(busy *bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	was := *busy
+	*busy = true
+	return !was
+}
+
+func (b *beat) done(busy *bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	*busy = false
+}
+
+// sources returns the VMs to catch up from: the zone's watcher, which costs
+// nothing, and the one that is known to be ahead.
+func (b *beat) sources(from peer) []peer {
+	list := []peer{from}
+	if w, ok := watcherOf(b.vm.view.Load(), b.vm.Settings.Zone); ok && w != from && w != b.vm.self() {
+		list = []peer{w, from}
+	}
+	return list
+}
+
+// catchUpConfig takes a configuration over from another VM.
+func (b *beat) catchUpConfig(from peer, version uint64) {
+	defer b.done(&b.fetching)
+	v := b.vm
+	if v.watches() {
+		time.Sleep(configPatience)
+	}
+	for _, p := range b.sources(from) {
+		if c := v.config.Load(); c != nil && c.Version >= version {
+			return
+		}
+		r, err := v.lanes.ask(p, call{Config: true})
+		if err != nil || r.Config == nil {
+			v.Log.Warn().Err(err).Str("peer", p.Name).Msg("configuration not fetched from another VM")
+			continue
+		}
+		v.takeConfig(r.Config, p.Name)
+	}
+}
+
+// catchUpTargets takes the targets over from another VM.
+func (b *beat) catchUpTargets(from peer) {
+	defer b.done(&b.listing)
+	list := b.sources(from)
+	b.mu.Lock()
+	if b.differs > 0 && clock.Now()-b.differs > differPatience {
+		list = []peer{from} // the watcher does not know them either
+	}
+	b.mu.Unlock()
+	r, err := b.vm.lanes.ask(list[0], call{Targets: true})
+	if err != nil || len(r.Targets) == 0 {
+		b.vm.Log.Warn().Err(err).Str("peer", list[0].Name).Msg("targets not fetched from another VM")
+		return
+	}
+	b.vm.takeTargets(r.Targets)
+}
+
+// news tells the VMs of the zone that its watcher has learned something.
+func (b *beat) news() {
+	v := b.vm
+	if b.conn == nil || !v.watches() {
+		return
+	}
+	p := &packet{Kind: packetNews, Digest: v.targets.load().digest}
+	if c := v.config.Load(); c != nil {
+		p.Config = c.Version
+	}
+	for _, o := range v.view.Load().Peers {
+		if o.Zone == v.Settings.Zone && o.Name != v.Settings.VM {
+			b.write(o.IP, p)
+		}
+	}
+}
--- /dev/null
+++ b/fleet/packet.go
@@ -0,0 +1,71 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/reign"
+	"github.com/pollendoor/pollendoor/share"
+)
+
+// packetKind tells the datagrams between VMs apart.
+type packetKind uint8
+
+const (
+	packetBeat     packetKind = iota + 1 // a VM to the duty holder
+	packetAnswer                         // its answer
+	packetPoke                           // the holder tells its record and asks for a heartbeat now
+	packetAsk                            // a VM asks another whether it hears the holder
+	packetTell                           // its answer
+	packetNews                           // a zone's watcher has learned something
+	packetAdmit                          // a VM asks the keeper of a team's rate for an operation
+	packetAdmitted                       // its answer
+)
+
+// position is a sample in a datagram. Since is counted from the echoed stamp's
+// arrival in a heartbeat, and from the heartbeat's arrival in an answer: both
+// take the sample for older than it is.
+type position struct {
+	Since time.Duration   `cbor:"1,keyasint"`
+	Term  pollendoor.Term `cbor:"2,keyasint"`
+	Index uint64          `cbor:"3,keyasint"`
+}
+
+// packet is a datagram between VMs.
+type packet struct {
+	Kind  packetKind    `cbor:"1,keyasint"`
+	From  peer          `cbor:"2,keyasint"`
+	Token uint64        `cbor:"3,keyasint,omitempty"`
+	Stamp time.Duration `cbor:"4,keyasint,omitempty"` // sender's clock
+	Echo  time.Duration `cbor:"5,keyasint,omitempty"` // Stamp of the packet answered, or last received
+
+	// Of a heartbeat.
+	Version  uint64                  `cbor:"6,keyasint,omitempty"` // of the record adopted
+	Promise  time.Duration           `cbor:"7,keyasint,omitempty"` // no claim for so long after Echo
+	Reports  map[string]reign.Report `cbor:"8,keyasint,omitempty"`
+	Held     map[string]share.Held   `cbor:"9,keyasint,omitempty"`
+	ShareSeq uint64                  `cbor:"10,keyasint,omitempty"`
+	ViewSeen uint64                  `cbor:"11,keyasint,omitempty"`
+	Power    float64                 `cbor:"25,keyasint,omitempty"` // share of a core
+	Run      uint64                  `cbor:"21,keyasint,omitempty"` // identifies the process
+
+	// Of an answer.
+	Lease  time.Duration      `cbor:"12,keyasint,omitempty"`
+	Record *storedRecord      `cbor:"13,keyasint,omitempty"` // if Version is not the newest
+	View   *view              `cbor:"14,keyasint,omitempty"` // if ViewSeen is not the newest
+	Shares map[string]float64 `cbor:"15,keyasint,omitempty"`
+	Digest uint64             `cbor:"20,keyasint,omitempty"` // of the holder's targets
+	Want   bool               `cbor:"19,keyasint,omitempty"` // the holder needs promises: it does not reach the store
+
+	Config    uint64              `cbor:"16,keyasint,omitempty"` // version in force at the sender
+	Positions map[string]position `cbor:"17,keyasint,omitempty"` // of primaries, by group
+	Relay     string              `cbor:"22,keyasint,omitempty"` // VM's IP through which a heartbeat came
+	To        string              `cbor:"23,keyasint,omitempty"` // VM's IP that an answer is for
+	Age       time.Duration       `cbor:"18,keyasint,omitempty"` // of a tell: since the holder answered
+
+	// Of a question to the keeper of a team's rate, and its answer.
+	Team     string        `cbor:"24,keyasint,omitempty"`
+	Question uint64        `cbor:"26,keyasint,omitempty"` // number of the question
+	Admitted bool          `cbor:"27,keyasint,omitempty"`
+	Wait     time.Duration `cbor:"28,keyasint,omitempty"` // before the operation may begin
+}
--- a/fleet/rates.go
+++ b/fleet/rates.go
@@ -56,7 +56,7 @@
 	k := r.keeperOf(team, now)
 	if k.Name != r.vm.Settings.VM {
 		if a, ok := r.ask(k, team); ok {
-			return a.Lease, a.Want
+			return a.Wait, a.Admitted
 		}
 		r.mu.Lock()
 		if r.avoid == nil {
@@ -87,7 +87,7 @@
 	}()
 	for range keeperTries {
 		// A repeated question may take a second operation, never none.
-		r.vm.beat.write(k.IP, &packet{Kind: packetAdmit, Version: id, Team: team})
+		r.vm.beat.write(k.IP, &packet{Kind: packetAdmit, Question: id, Team: team})
 		t := time.NewTimer(keeperTimeout)
 		select {
 		case a := <-ch:
@@ -101,7 +101,7 @@
 
 // asked answers another VM's question.
 func (r *rates) asked(p *packet, now time.Duration) {
-	a := packet{Kind: packetAdmitted, Version: p.Version}
+	a := packet{Kind: packetAdmitted, Question: p.Question}
 	c := r.vm.Config()
 	if c == nil {
 		return
@@ -110,14 +110,14 @@
 	if !ok {
 		return
 	}
-	a.Lease, a.Want = r.vm.buckets.Admit(p.Team, l, now)
+	a.Wait, a.Admitted = r.vm.buckets.Admit(p.Team, l, now)
 	r.vm.beat.write(p.From.IP, &a)
 }
 
 // answered passes a keeper's answer on.
 func (r *rates) answered(p *packet) {
 	r.mu.Lock()
-	ch := r.pending[p.Version]
+	ch := r.pending[p.Question]
 	r.mu.Unlock()
 	if ch != nil {
 		select {
