--- a/broker/broker.go
+++ b/broker/broker.go
@@ -126,13 +126,6 @@
 	b.drop()
 }
 
-// Reopen takes a closed broker into use again.
-func (b *Broker) Reopen() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.closed = false
-}
-
 // drop closes the idle connections.
 func (b *Broker) drop() {
 	for _, l := range b.idle {
--- a/dial/dial.go
+++ b/dial/dial.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -46,6 +47,27 @@
 	return net.ListenConfig{KeepAliveConfig: dialer.KeepAliveConfig, Control: dialer.Control}
 }
 
+// acceptPause is the pause after a failed accept: out of descriptors, most likely,
+// and others end soon.
+const acceptPause = 20 * time.Millisecond
+
+// Accept hands each connection to serve, in a goroutine of its own, until the
+// listener is closed. Failed is told of errors.
+func Accept(l net.Listener, failed func(error), serve func(net.Conn)) {
+	for {
+		c, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			failed(err)
+			time.Sleep(acceptPause)
+			continue
+		}
+		go serve(c)
+	}
+}
+
 // Alive reports whether an idle connection is still open: its peer has neither
 // closed it nor sent anything that nobody asked for.
 func Alive(c net.Conn) bool {
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -42,7 +42,7 @@
 	held    bool
 	state   reign.Duty
 	object  uint64 // version of the record's object in the store
-	peers   map[string]peerState
+	peers   map[string]peer
 	view    view
 	pool    share.Pool
 	members time.Duration // when the members were last changed
@@ -51,12 +51,6 @@
 	writing sync.Mutex // one write of the record at a time
 }
 
-// peerState is a VM as the holder hears it.
-type peerState struct {
-	peer
-	config uint64
-}
-
 func (d *duty) holds() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -97,7 +91,7 @@
 	d.held, d.object = true, object
 	d.state = reign.Duty{Self: v.Settings.VM, Record: r.Record, Claimed: now}
 	d.state.Written(next.Record, start, now)
-	d.peers = map[string]peerState{v.Settings.VM: {peer: v.self()}}
+	d.peers = map[string]peer{v.Settings.VM: v.self()}
 	d.view = view{Version: next.Token<<32 | 1, Peers: v.view.Load().Peers}
 	d.pool = share.Pool{}
 	d.moves = make(map[string]bool)
@@ -134,7 +128,7 @@
 func (d *duty) write(ctx context.Context, change func(reign.Record) reign.Record) error {
 	d.writing.Lock()
 	defer d.writing.Unlock()
-	for try := 0; ; try++ {
+	for {
 		d.mu.Lock()
 		held, object, old := d.holding(), d.object, d.state.Record
 		d.mu.Unlock()
--- a/fleet/grant.go
+++ b/fleet/grant.go
@@ -65,7 +65,7 @@
 	list := make([]peer, 0, len(d.peers))
 	for _, name := range d.state.Live(now) {
 		if p, ok := d.peers[name]; ok {
-			list = append(list, p.peer)
+			list = append(list, p)
 		}
 	}
 	same := len(list) == len(d.view.Peers)
@@ -95,7 +95,7 @@
 		version, p.Echo, p.ShareSeq, p.Positions = 0, 0, 0, nil
 	}
 	d.state.Heard(reign.Heartbeat{VM: p.From.Name, Version: version, Echo: p.Echo, Promise: p.Promise, Power: p.Power, Reports: p.Reports}, now)
-	d.peers[p.From.Name] = peerState{peer: p.From, config: p.Config}
+	d.peers[p.From.Name] = p.From
 	d.refreshView(now)
 	a := &packet{
 		Kind: packetAnswer, Token: r.Token, Stamp: now, Echo: p.Stamp, Version: r.Version,
@@ -153,10 +153,7 @@
 		v.configs.nudge()
 		v.entries.nudge()
 	}
-	v.buckets.Configure(share.Slack{
-		Window: time.Duration(v.Settings.QuotaWindowS * float64(time.Second)),
-		Excess: v.Settings.QuotaExcess, Margin: v.Settings.QuotaMargin,
-	}, max(len(n.Peers), 1))
+	v.buckets.Configure(v.Settings.slack(), max(len(n.Peers), 1))
 	if c := v.Config(); c != nil {
 		v.buckets.Know(v.rates.kept(c), clock.Now())
 	}
--- a/fleet/lanes.go
+++ b/fleet/lanes.go
@@ -182,32 +182,18 @@
 
 // serve accepts lanes of other VMs.
 func (s *lanes) serve() {
-	for {
-		c, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			s.vm.Log.Warn().Err(err).Msg("lane not accepted")
-			time.Sleep(acceptPause)
-			continue
-		}
-		s.mu.Lock()
-		if s.serves == nil {
-			s.serves = make(map[net.Conn]struct{})
-		}
-		s.serves[c] = struct{}{}
-		s.mu.Unlock()
-		go s.serveLane(c)
-	}
+	dial.Accept(s.listener, func(err error) { s.vm.Log.Warn().Err(err).Msg("lane not accepted") }, s.serveLane)
 }
 
-// acceptPause is the pause after a failed accept.
-const acceptPause = 20 * time.Millisecond
-
 // serveLane runs the work of another VM. The end of the connection ends its
 // turn.
 func (s *lanes) serveLane(c net.Conn) {
+	s.mu.Lock()
+	if s.serves == nil {
+		s.serves = make(map[net.Conn]struct{})
+	}
+	s.serves[c] = struct{}{}
+	s.mu.Unlock()
 	l := newLane(c)
 	var current pollendoor.Turn
 	defer func() {
--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
+
+	"github.com/pollendoor/pollendoor/share"
 )
 
 // Settings is the settings file of a VM on the platform.
@@ -83,3 +85,11 @@
 
 // Grace returns the time of a planned stop.
 func (s *Settings) Grace() time.Duration { return time.Duration(s.GraceS * float64(time.Second)) }
+
+// slack returns what may be admitted beyond a team's limit.
+func (s *Settings) slack() share.Slack {
+	return share.Slack{
+		Window: time.Duration(s.QuotaWindowS * float64(time.Second)),
+		Excess: s.QuotaExcess, Margin: s.QuotaMargin,
+	}
+}
--- a/fleet/vm.go
+++ b/fleet/vm.go
@@ -113,10 +113,7 @@
 	v.duty.vm = v
 	v.beat.vm = v
 	v.rates.vm = v
-	v.buckets.Configure(share.Slack{
-		Window: time.Duration(v.Settings.QuotaWindowS * float64(time.Second)),
-		Excess: v.Settings.QuotaExcess, Margin: v.Settings.QuotaMargin,
-	}, firstPeers)
+	v.buckets.Configure(v.Settings.slack(), firstPeers)
 	v.entries, v.configs = v.targetsFollower(), v.configFollower()
 	if err := v.beat.listen(); err != nil {
 		return err
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -291,15 +291,9 @@
 // come from the duty holder.
 func (v *VM) findRecord(ctx context.Context) {
 	for ctx.Err() == nil {
-		o, err := v.Platform.Store.Get(ctx, recordName)
-		var r storedRecord
+		_, r, err := v.duty.read(ctx)
 		if err == nil {
-			r, err = decodeRecord(o)
-		}
-		if err == nil {
-			v.learn(r, "store")
-		}
-		if err == nil || errors.Is(err, pollendoor.ErrNotFound) {
+			v.learn(r, "store") // an empty record teaches nothing
 			v.beat.listed.Store(true)
 			v.beat.wake()
 			return
