share, fleet: even first shares, operations wait for a share that is on its way

The zone whose keeper reported first was given 0.83 of a rate, as the only one with known demand, the next ones 0.17 and 0.01; and a keeper without any share refused at once, though its share was one heartbeat away.

Ruled out: keepers not reached (no such line after 33 s), shares of the earlier process still in use (a restarted process frees them).

Change: until all sharers have reported, shares are even. A keeper that is new leaves an operation undecided for at most a second after it became one, and the operation asks again, for the 400 ms that it may wait for a token anyway.

Tests: share TestFirstSharesAreEven, TestNewKeeperWaitsForItsShare.

--- a/fleet/packet.go
+++ b/fleet/packet.go
@@ -66,6 +66,6 @@
 	// Of a question to the keeper of a team's rate, and its answer.
 	Team     string        `cbor:"24,keyasint,omitempty"`
 	Question uint64        `cbor:"26,keyasint,omitempty"` // number of the question
-	Admitted bool          `cbor:"27,keyasint,omitempty"`
+	Verdict  share.Verdict `cbor:"27,keyasint,omitempty"`
 	Wait     time.Duration `cbor:"28,keyasint,omitempty"` // before the operation may begin
 }
--- a/fleet/rates.go
+++ b/fleet/rates.go
@@ -8,6 +8,7 @@
 
 	"github.com/pollendoor/pollendoor"
 	"github.com/pollendoor/pollendoor/clock"
+	"github.com/pollendoor/pollendoor/share"
 )
 
 const (
@@ -18,6 +19,9 @@
 	keeperTries   = 2
 	// keeperAvoid is how long a keeper that did not answer is passed over.
 	keeperAvoid = 500 * time.Millisecond
+	// sharePoll is how often an operation looks whether the share has come: about
+	// a round trip between regions, which heartbeats take.
+	sharePoll = 30 * time.Millisecond
 )
 
 // rates admits operations of teams. Each team has one keeper in each zone, which
@@ -50,13 +54,26 @@
 	return best
 }
 
-// admit takes one operation of a team, here or at the keeper.
+// admit takes one operation of a team. While the keeper's share is on its way,
+// after a start or a change of the keeper, the operation waits for it.
 func (r *rates) admit(team string, l pollendoor.TeamLimit) (time.Duration, bool) {
+	begin := clock.Now()
+	for {
+		wait, verdict := r.decide(team, l)
+		if verdict != share.Unshared || clock.Now()-begin > share.MaxWait-sharePoll {
+			return wait, verdict == share.Granted
+		}
+		time.Sleep(sharePoll)
+	}
+}
+
+// decide asks for one operation of a team, here or at the keeper.
+func (r *rates) decide(team string, l pollendoor.TeamLimit) (time.Duration, share.Verdict) {
 	now := clock.Now()
 	k := r.keeperOf(team, now)
 	if k.Name != r.vm.Settings.VM {
 		if a, ok := r.ask(k, team); ok {
-			return a.Wait, a.Admitted
+			return a.Wait, a.Verdict
 		}
 		r.mu.Lock()
 		if r.avoid == nil {
@@ -66,7 +83,11 @@
 		r.mu.Unlock()
 		r.vm.Log.Info().Str("keeper", k.Name).Str("team", team).Msg("keeper of a rate not reached")
 	}
-	return r.vm.buckets.Admit(team, l, now)
+	wait, verdict := r.vm.buckets.Admit(team, l, now)
+	if verdict == share.Over && r.vm.view.Load().Version == 0 {
+		verdict = share.Unshared // this VM has yet to learn who keeps the rate
+	}
+	return wait, verdict
 }
 
 // ask asks a keeper for one operation.
@@ -110,7 +131,7 @@
 	if !ok {
 		return
 	}
-	a.Wait, a.Admitted = r.vm.buckets.Admit(p.Team, l, now)
+	a.Wait, a.Verdict = r.vm.buckets.Admit(p.Team, l, now)
 	r.vm.beat.write(p.From.IP, &a)
 }
 
--- a/share/bucket.go
+++ b/share/bucket.go
@@ -72,6 +72,20 @@
 	return l.Rate + (1-burstKept)*l.Burst/s.Window.Seconds()
 }
 
+// newKeeper is how long a VM that has come to keep a team's rate may expect its
+// share: some heartbeats of a fleet that has just started.
+const newKeeper = time.Second
+
+// Verdict is the decision on one operation.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Over     Verdict = iota // the team is over its rate
+	Granted                 // the operation may run
+	Unshared                // undecided: this VM's share is on its way
+)
+
 // bucket is one team's tokens at a VM.
 type bucket struct {
 	share  float64
@@ -82,7 +96,8 @@
 	demand float64
 	since  time.Duration // when demand was last averaged
 	used   time.Duration
-	kept   bool // this VM asks for a share
+	kept   bool          // this VM asks for a share
+	keeps  time.Duration // since when
 }
 
 // Buckets admits operations at one VM. The zero value admits by the slack only.
@@ -130,32 +145,33 @@
 }
 
 // Admit takes one operation of a team and returns how long it has to wait for
-// its token. It reports false, with nothing taken, if that is longer than
-// MaxWait.
-func (b *Buckets) Admit(team string, l pollendoor.TeamLimit, now time.Duration) (time.Duration, bool) {
+// its token. Nothing is taken unless the verdict is Granted; no token is further
+// away than MaxWait.
+func (b *Buckets) Admit(team string, l pollendoor.TeamLimit, now time.Duration) (time.Duration, Verdict) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.team(team, now)
-	t.asked++
 	t.used = now
 	t.fill(l, b.slack, b.peers, now)
-	if t.tokens >= 1 {
-		t.tokens--
-		return 0, true
-	}
 	rate := b.slack.rate(l, b.peers)
-	if now < t.until {
+	shared := now < t.until && t.share > 0
+	if shared {
 		rate = max(rate, b.slack.steady(l)*t.share)
 	}
-	if rate <= 0 {
-		return 0, false
+	wait, ok := time.Duration(0), t.tokens >= 1
+	if !ok && rate > 0 {
+		wait = time.Duration((1 - t.tokens) / rate * float64(time.Second))
+		ok = wait <= MaxWait
 	}
-	wait := time.Duration((1 - t.tokens) / rate * float64(time.Second))
-	if wait > MaxWait {
-		return 0, false
+	if !ok && !shared && t.kept && now < t.keeps+newKeeper {
+		return 0, Unshared // asked again, so it does not count as demand yet
+	}
+	t.asked++
+	if !ok {
+		return 0, Over
 	}
 	t.tokens--
-	return wait, true
+	return wait, Granted
 }
 
 // Report returns the shares held and the demand of each team, for the holder.
@@ -202,7 +218,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for name := range kept {
-		b.team(name, now).kept = true
+		if t := b.team(name, now); !t.kept {
+			t.kept, t.keeps = true, now
+		}
 	}
 	for name, t := range b.teams {
 		if _, ok := kept[name]; !ok && t.kept {
--- a/share/pool.go
+++ b/share/pool.go
@@ -30,8 +30,9 @@
 type holding struct {
 	run    uint64 // process that reported it
 	demand float64
-	before float64 // held from an earlier holder, lapsed or not
-	grants []grant // not superseded yet
+	heard  time.Duration // when it last reported
+	before float64       // held from an earlier holder, lapsed or not
+	grants []grant       // not superseded yet
 }
 
 func (h *holding) outstanding(now time.Duration) float64 {
@@ -93,7 +94,7 @@
 			delete(vms, r.VM)
 			continue
 		}
-		own.demand = h.Demand
+		own.demand, own.heard = h.Demand, now
 		own.grants = slices.DeleteFunc(own.grants, func(g grant) bool { return g.seq < r.Seq })
 		amount := p.amount(vms, r.VM, live, closed, now)
 		own.grants = append(own.grants, grant{seq: p.seq, amount: amount, until: now + Life})
@@ -105,13 +106,15 @@
 // amount decides the share of a VM.
 func (p *Pool) amount(vms map[string]*holding, vm string, live int, closed bool, now time.Duration) float64 {
 	demand, others, before := 0.0, 0.0, 0.0
+	reporting := 0
 	for name, h := range vms {
 		o := h.outstanding(now)
 		if name != vm {
 			others += o
 		}
-		if o > 0 || name == vm {
+		if now-h.heard < Life {
 			demand += h.demand
+			reporting++
 		}
 		before += h.before
 	}
@@ -123,7 +126,8 @@
 	}
 	own := vms[vm]
 	want := whole / float64(max(1, live))
-	if demand > 0 {
+	if demand > 0 && (closed || reporting >= live) {
+		// Before all have told their demand, the first ones would get it all.
 		want = whole * (even/float64(max(1, live)) + (1-even)*own.demand/demand)
 	}
 	current := own.outstanding(now)
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -127,7 +127,7 @@
 			}
 			i := rapid.IntRange(0, vms-1).Draw(t, "vm")
 			for range rapid.IntRange(0, 8).Draw(t, "callers") {
-				if wait, ok := buckets[i].Admit("t", limit, now); ok {
+				if wait, verdict := buckets[i].Admit("t", limit, now); verdict == share.Granted {
 					admitted = append(admitted, now+wait)
 				}
 			}
@@ -172,7 +172,7 @@
 	}
 	n := 0
 	for {
-		if wait, ok := old.Admit("t", limit, 2*time.Second); !ok || wait > 0 {
+		if wait, verdict := old.Admit("t", limit, 2*time.Second); verdict != share.Granted || wait > 0 {
 			break
 		}
 		n++
@@ -189,8 +189,8 @@
 	b.Know(limits, 0)
 	b.Adopt(map[string]float64{"t": 1}, 1, limits, 0, 0)
 	for {
-		wait, ok := b.Admit("t", limit, 0)
-		if !ok {
+		wait, verdict := b.Admit("t", limit, 0)
+		if verdict != share.Granted {
 			t.Fatal("got a refusal, want a wait first")
 		}
 		if wait > 0 {
@@ -201,9 +201,59 @@
 		}
 	}
 	for range 1000 {
-		if _, ok := b.Admit("t", limit, 0); !ok {
+		if _, verdict := b.Admit("t", limit, 0); verdict == share.Over {
 			return
 		}
 	}
 	t.Error("got no refusal in 1000 operations at once, want one")
 }
+
+// All VMs start at once (power comes back): the zone that reports first must not
+// get what the others need a heartbeat later. Found on presente-comum trouble-2,
+// where one zone was given 0.83 of a rate and the next ones 0.17 and 0.01.
+func TestFirstSharesAreEven(t *testing.T) {
+	var p share.Pool
+	for i, demand := range []float64{30, 0, 20} {
+		got, _ := p.Renew(share.Report{VM: fmt.Sprint(i), Run: uint64(i), Held: held(0, 0, demand)}, 3, false, time.Second)
+		if got["t"] < 0.3 {
+			t.Errorf("VM %d: got %.2f at first, want about a third", i, got["t"])
+		}
+	}
+}
+
+// All VMs start at once, callers come before the first shares: their operations
+// are undecided for a while instead of refused.
+func TestNewKeeperWaitsForItsShare(t *testing.T) {
+	limits := map[string]pollendoor.TeamLimit{"t": limit}
+	start := 5 * time.Second
+	ask := func(b *share.Buckets, now time.Duration) share.Verdict {
+		for range 100 {
+			if _, verdict := b.Admit("t", limit, now); verdict != share.Granted {
+				return verdict
+			}
+		}
+		return share.Granted
+	}
+	for _, tc := range []struct {
+		name  string
+		kept  bool
+		share float64
+		after time.Duration
+		want  share.Verdict
+	}{
+		{"share on its way", true, 0, 100 * time.Millisecond, share.Unshared},
+		{"no share for long", true, 0, 3 * time.Second, share.Over},
+		{"another VM keeps the rate", false, 0, 100 * time.Millisecond, share.Over},
+		{"share used up", true, 0.5, 100 * time.Millisecond, share.Over},
+	} {
+		var b share.Buckets
+		b.Configure(slack, 9)
+		if tc.kept {
+			b.Know(limits, start)
+		}
+		b.Adopt(map[string]float64{"t": tc.share}, 1, limits, start, start)
+		if got := ask(&b, start+tc.after); got != tc.want {
+			t.Errorf("%s: got verdict %d, want %d", tc.name, got, tc.want)
+		}
+	}
+}
