fleet, share, reign: a planned stop hands duty, homes and rates over

Its callers' statements in flight through other VMs were lost with its lanes, the fleet missed the duty holder for 1.3 s, and each keeper of a rate took its zone's share with it: 30 to 60 refusals "over the team's rate" a stop.

Ruled out: limits (no team was near its own), connections refused by targets.

Change: - A stopping VM tells the holder, which takes it out of the view at once; others take homes, rates and the watch over. It stays until its shares are given back and the turns of other VMs through it are over. - A holder that stops names its successor in the record, which claims the duty at once; leases go on meanwhile. - Shares go on as they are while the next holder has not heard from all, and a zone's next keeper takes the measured demand of the one before over.

--- a/cmd/pollenvm/serve.go
+++ b/cmd/pollenvm/serve.go
@@ -95,21 +95,22 @@
 	case <-signals:
 	}
 	log.Info().Int("sessions", front.Len()).Msg("stop asked for")
-	vm.Drain()
-	drain(front, set.Grace())
+	drain(vm, front, set.Grace())
 	l.Close()
 	stop()
 	log.Info().Int("sessions", front.Len()).Msg("stop")
 	return nil
 }
 
-// drain ends the sessions: idle ones now, those in a transaction when it ends or
-// after half of the grace period.
-func drain(front *platform.Front, grace time.Duration) {
+// drain hands this VM's part over and ends the sessions: idle ones now, those in a
+// transaction when it ends or after half of the grace period. The same holds for
+// turns that other VMs have under way here.
+func drain(vm *fleet.VM, front *platform.Front, grace time.Duration) {
 	begin := time.Now()
 	front.Drain()
+	vm.Leave(context.Background())
 	ended := false
-	for front.Len() > 0 && time.Since(begin) < grace-exitSlack {
+	for time.Since(begin) < grace-exitSlack && (front.Len() > 0 || vm.Turns() > 0 && !ended) {
 		time.Sleep(drainPoll)
 		if !ended && time.Since(begin) > grace/2 {
 			ended = true
--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -70,6 +70,7 @@
 	told      map[string]tell
 	sentIndex map[string]sample.Sample // newest sample reported, by group
 	adopted   time.Duration            // send time of the last heartbeat whose shares were adopted
+	unlisted  time.Duration            // since when the view lacks this VM, zero if it does not
 	wanted    reign.Stamp              // since when the holder of a token asks for promises, by this VM's clock
 	storeRead time.Duration            // start of this VM's last read of the record
 	storeOK   bool                     // it succeeded
@@ -93,6 +94,25 @@
 
 func (b *beat) close() { b.conn.Close() }
 
+// released reports whether the holder has taken this VM out of the view, and has
+// answered a heartbeat in which its shares were given up.
+func (b *beat) released() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.unlisted > 0 && b.adopted > b.unlisted
+}
+
+// viewed notes whether the view has this VM.
+func (b *beat) viewed(listed bool, now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if listed {
+		b.unlisted = 0
+	} else if b.unlisted == 0 {
+		b.unlisted = now
+	}
+}
+
 // wake makes a heartbeat go out now.
 func (b *beat) wake() {
 	select {
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -204,6 +204,14 @@
 
 // poke asks all VMs for a heartbeat now.
 func (d *duty) poke() {
+	d.mu.Lock()
+	r := storedRecord{Record: d.state.Record, Run: d.vm.run}
+	d.mu.Unlock()
+	d.tell(r)
+}
+
+// tell sends all VMs a record and asks them for a heartbeat now.
+func (d *duty) tell(r storedRecord) {
 	d.mu.Lock()
 	ips := make(map[string]bool, len(d.peers))
 	for _, p := range d.peers {
@@ -212,7 +220,6 @@
 	for _, p := range d.view.Peers {
 		ips[p.IP] = true
 	}
-	r := storedRecord{Record: d.state.Record, Run: d.vm.run}
 	d.mu.Unlock()
 	delete(ips, d.vm.Settings.IP)
 	for ip := range ips {
--- a/fleet/grant.go
+++ b/fleet/grant.go
@@ -29,12 +29,12 @@
 	if v.shareToken() != d.state.Record.Token {
 		seq = 0
 	}
-	shares, seq := d.pool.Renew(share.Report{VM: v.Settings.VM, Run: v.run, Seq: seq, Held: held}, d.sharers(), d.closed(now), now)
+	shares, seq := d.pool.Renew(share.Report{VM: v.Settings.VM, Zone: v.Settings.Zone, Run: v.run, Seq: seq, Held: held}, d.sharers(), d.closed(now), now)
 	if c := v.Config(); c != nil {
 		v.setShareToken(d.state.Record.Token)
 		v.buckets.Adopt(shares, seq, c.Teams, now, now)
 	}
-	d.refreshView(now)
+	d.refreshView(now, false)
 	v.takeView(&d.view)
 	v.beat.contact(now)
 }
@@ -60,21 +60,21 @@
 	return len(zones)
 }
 
-// refreshView follows the VMs that are heard.
-func (d *duty) refreshView(now time.Duration) {
+// refreshView follows the VMs that are heard and stay. A new holder keeps the view
+// that it has until the others had time to report; left says that one of them has
+// told that it leaves.
+func (d *duty) refreshView(now time.Duration, left bool) {
 	list := make([]peer, 0, len(d.peers))
 	for _, name := range d.state.Live(now) {
-		if p, ok := d.peers[name]; ok {
-			list = append(list, p)
+		if d.stays(name) {
+			list = append(list, d.peers[name])
 		}
 	}
 	same := len(list) == len(d.view.Peers)
 	for i := 0; same && i < len(list); i++ {
 		same = list[i] == d.view.Peers[i]
 	}
-	// A new holder keeps the view that it has until the others had time to
-	// report.
-	if !same && (now > d.state.Claimed+2*beatPeriod || len(list) > len(d.view.Peers)) {
+	if !same && (left || now > d.state.Claimed+2*beatPeriod || len(list) > len(d.view.Peers)) {
 		d.view = view{Version: d.view.Version + 1, Peers: list}
 	}
 }
@@ -95,8 +95,12 @@
 		version, p.Echo, p.ShareSeq, p.Positions = 0, 0, 0, nil
 	}
 	d.state.Heard(reign.Heartbeat{VM: p.From.Name, Version: version, Echo: p.Echo, Promise: p.Promise, Power: p.Power, Reports: p.Reports}, now)
+	left := p.From.Leaving && d.view.has(p.From.Name)
 	d.peers[p.From.Name] = p.From
-	d.refreshView(now)
+	d.refreshView(now, left)
+	if left {
+		go d.poke() // all learn at once who takes its part
+	}
 	a := &packet{
 		Kind: packetAnswer, Token: r.Token, Stamp: now, Echo: p.Stamp, Version: r.Version,
 		Lease: d.state.Lease(p.From.Name, now), Positions: make(map[string]position),
@@ -122,7 +126,7 @@
 			a.Positions[name] = position{Since: s.Since - now, Term: s.Position.Term, Index: s.Position.Index}
 		}
 	}
-	a.Shares, a.ShareSeq = d.pool.Renew(share.Report{VM: p.From.Name, Run: p.Run, Seq: p.ShareSeq, Held: p.Held}, d.sharers(), d.closed(now), now)
+	a.Shares, a.ShareSeq = d.pool.Renew(share.Report{VM: p.From.Name, Zone: p.From.Zone, Run: p.Run, Seq: p.ShareSeq, Held: p.Held}, d.sharers(), d.closed(now), now)
 	return a
 }
 
@@ -158,6 +162,8 @@
 		v.buckets.Know(v.rates.kept(c), clock.Now())
 	}
 	v.homes.refresh()
+	v.beat.viewed(n.has(v.Settings.VM), clock.Now())
+	v.beat.wake() // shares have to follow their keepers
 	names := make([]string, 0, len(n.Peers))
 	for _, p := range n.Peers {
 		names = append(names, p.Name)
--- a/fleet/lanes.go
+++ b/fleet/lanes.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -50,6 +51,7 @@
 type lanes struct {
 	vm       *VM
 	listener net.Listener
+	turns    atomic.Int64 // of other VMs
 
 	mu     sync.Mutex
 	idle   map[string][]*lane // by VM name
@@ -197,9 +199,7 @@
 	l := newLane(c)
 	var current pollendoor.Turn
 	defer func() {
-		if current != nil {
-			current.Close()
-		}
+		s.finish(&current)
 		c.Close()
 		s.mu.Lock()
 		delete(s.serves, c)
@@ -223,10 +223,7 @@
 		case in.Targets:
 			out.Targets = s.vm.targets.listed()
 		default:
-			if current != nil {
-				current.Close()
-				current = nil
-			}
+			s.finish(&current)
 			continue
 		}
 		c.SetWriteDeadline(time.Now().Add(laneIdle))
@@ -243,15 +240,25 @@
 			return pollendoor.Reply{Code: pollendoor.ErrMisrouted, Text: "the home does not know the target", State: 'I'}
 		}
 		*current = s.vm.homes.broker(t).Open(w.Team)
+		s.turns.Add(1)
 	}
 	r := (*current).Do(w)
 	if r.State != 'T' || r.Code != "" {
-		(*current).Close()
-		*current = nil
+		s.finish(current)
 	}
 	return r
 }
 
+// finish ends the turn that a lane has under way, if any.
+func (s *lanes) finish(current *pollendoor.Turn) {
+	if *current == nil {
+		return
+	}
+	(*current).Close()
+	*current = nil
+	s.turns.Add(-1)
+}
+
 // ask asks another VM a question beside the work.
 func (s *lanes) ask(p peer, c call) (result, error) {
 	l, err := s.take(p)
--- a/fleet/vm.go
+++ b/fleet/vm.go
@@ -8,6 +8,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -61,7 +62,7 @@
 	duty      duty
 	rates     rates
 	beat      beat
-	draining  atomic.Bool
+	leaving   atomic.Bool
 	served    lineLimit
 	refused   lineLimit
 	shareSeen uint64 // token of the holder that granted the shares
@@ -89,6 +90,8 @@
 	Name string `cbor:"1,keyasint"`
 	Zone string `cbor:"2,keyasint"`
 	IP   string `cbor:"3,keyasint"`
+	// Leaving says that the VM is about to stop: others take its part over.
+	Leaving bool `cbor:"4,keyasint,omitempty"`
 }
 
 // view is the live VMs. Version grows with each change by one holder.
@@ -97,8 +100,13 @@
 	Peers   []peer `cbor:"2,keyasint"`
 }
 
+// has reports whether a VM is in the view.
+func (w *view) has(vm string) bool {
+	return slices.ContainsFunc(w.Peers, func(p peer) bool { return p.Name == vm })
+}
+
 func (v *VM) self() peer {
-	return peer{Name: v.Settings.VM, Zone: v.Settings.Zone, IP: v.Settings.IP}
+	return peer{Name: v.Settings.VM, Zone: v.Settings.Zone, IP: v.Settings.IP, Leaving: v.leaving.Load()}
 }
 
 func (v *VM) addr(ip string) string { return net.JoinHostPort(ip, strconv.Itoa(v.Settings.PeerPort)) }
@@ -141,16 +149,13 @@
 // firstPeers is the number of VMs assumed before the duty holder has told it.
 const firstPeers = 16
 
-// Drain makes the VM report that it is not ready.
-func (v *VM) Drain() { v.draining.Store(true) }
-
 // contactLoss is how long a VM without a lease still counts as ready: a change
 // of the duty holder must not take the whole fleet out of rotation.
 const contactLoss = 1500 * time.Millisecond
 
 // Ready reports whether the VM can serve callers.
 func (v *VM) Ready() bool {
-	if v.draining.Load() || v.config.Load() == nil || v.targets.len() == 0 {
+	if v.leaving.Load() || v.config.Load() == nil || v.targets.len() == 0 {
 		return false
 	}
 	l := v.lease.Load()
--- a/reign/duty.go
+++ b/reign/duty.go
@@ -204,6 +204,18 @@
 	return list
 }
 
+// Successor returns the member that the duty is handed to when this VM leaves: the
+// first of the record's that was heard lately and stays.
+func (d *Duty) Successor(self string, stays func(vm string) bool, now time.Duration) (string, bool) {
+	live := d.Live(now)
+	for _, name := range d.Record.Members {
+		if name != self && slices.Contains(live, name) && stays(name) {
+			return name, true
+		}
+	}
+	return "", false
+}
+
 // Complete reports whether every member has been heard since the claim.
 func (d *Duty) Complete() bool {
 	for _, name := range d.Record.Members {
@@ -302,13 +314,13 @@
 	if len(stay) == 0 {
 		stay = rest
 	}
-	next, ok = Successor(stay)
+	next, ok = Newest(stay)
 	return next, true, ok
 }
 
-// Successor chooses the target to promote: the one whose log reaches furthest,
+// Newest chooses the target to promote: the one whose log reaches furthest,
 // and of equals one that stays.
-func Successor(list []Candidate) (Candidate, bool) {
+func Newest(list []Candidate) (Candidate, bool) {
 	if len(list) == 0 {
 		return Candidate{}, false
 	}
--- a/reign/record.go
+++ b/reign/record.go
@@ -98,6 +98,13 @@
 	return n
 }
 
+// Hand returns the record with vm named as the holder, for it to claim.
+func (r *Record) Hand(vm, addr string) Record {
+	n := r.next()
+	n.Holder, n.Addr = vm, addr
+	return n
+}
+
 // WithGroup returns the record with a group's state replaced.
 func (r *Record) WithGroup(name string, g Group) Record {
 	n := r.next()
--- a/reign/reign_test.go
+++ b/reign/reign_test.go
@@ -247,7 +247,7 @@
 	}
 }
 
-func TestSuccessor(t *testing.T) {
+func TestNewest(t *testing.T) {
 	c := func(id string, term, index uint64, draining bool) reign.Candidate {
 		return reign.Candidate{
 			Target: pollendoor.TargetInfo{ID: id, Draining: draining},
@@ -264,12 +264,12 @@
 		{"of equals the one that stays", []reign.Candidate{c("a", 1, 5, true), c("b", 1, 5, false)}, "b"},
 		{"no acknowledged write is lost for one that stays", []reign.Candidate{c("a", 1, 6, true), c("b", 1, 5, false)}, "a"},
 	} {
-		got, ok := reign.Successor(tc.list)
+		got, ok := reign.Newest(tc.list)
 		if !ok || got.Target.ID != tc.want {
 			t.Errorf("%s: got %q, want %q", tc.name, got.Target.ID, tc.want)
 		}
 	}
-	if _, ok := reign.Successor(nil); ok {
+	if _, ok := reign.Newest(nil); ok {
 		t.Error("no candidates: got one, want none")
 	}
 }
@@ -298,3 +298,38 @@
 		t.Errorf("next holder: got %v, want none", got)
 	}
 }
+
+// VMs are stopped and started in turn, the holder among them: the duty goes to a
+// member that is there and stays.
+func TestDutyIsHandedToOneThatStays(t *testing.T) {
+	stays := func(leaving string) func(string) bool { return func(vm string) bool { return vm != leaving } }
+	for _, tc := range []struct {
+		name    string
+		heard   string
+		leaving string
+		want    string
+	}{
+		{"first member", "b c", "", "b"},
+		{"first one leaves too", "b c", "b", "c"},
+		{"first one is silent", "c", "", "c"},
+		{"nobody else", "", "", ""},
+	} {
+		d := duty()
+		for _, vm := range strings.Fields(tc.heard) {
+			d.Heard(reign.Heartbeat{VM: vm, Version: 1}, 20*second)
+		}
+		if got, ok := d.Successor("a", stays(tc.leaving), 20*second); got != tc.want || ok != (tc.want != "") {
+			t.Errorf("%s: got %q, want %q", tc.name, got, tc.want)
+		}
+	}
+	r := record("a", "b")
+	l := reign.Lease{}
+	l.Adopt(r, 10*second, 2*second)
+	l.Learn(r.Hand("b", "addr"))
+	if !l.Holds("g", 1, 11*second) {
+		t.Error("lease during the handover: got none, want it to go on")
+	}
+	if s := (reign.Sight{Self: "b", Record: r.Hand("b", "addr")}); !reign.MayClaim(s, 0) {
+		t.Error("named successor: got no claim, want one at once")
+	}
+}
--- a/share/pool.go
+++ b/share/pool.go
@@ -4,6 +4,7 @@
 package share
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -29,10 +30,38 @@
 // holding is what is known of a VM's use of one team's allowance.
 type holding struct {
 	run    uint64 // process that reported it
+	zone   string
 	demand float64
-	heard  time.Duration // when it last reported
+	heard  time.Duration // when it last reported, zero once it has given up its share
 	before float64       // held from an earlier holder, lapsed or not
 	grants []grant       // not superseded yet
+	first  estimate      // of its demand, until it has measured its own
+}
+
+// estimate is a demand that was measured by another VM of the zone.
+type estimate struct {
+	demand float64
+	at     time.Duration
+}
+
+// now returns how much of the estimate still counts. It fades as fast as the next
+// VM's own average builds up.
+func (e estimate) now(now time.Duration) float64 {
+	return e.demand * math.Exp(-(now-e.at).Seconds()/demandTime.Seconds())
+}
+
+// expected returns the demand to reckon with.
+func (h *holding) expected(now time.Duration) float64 { return max(h.demand, h.first.now(now)) }
+
+// reports reports whether the VM shares the allowance.
+func (h *holding) reports(now time.Duration) bool { return h.heard > 0 && now-h.heard < Life }
+
+// account is all that is known of one team's allowance.
+type account struct {
+	vms map[string]*holding
+	// left is the demand of zones whose keeper has given up its share, for the
+	// one that takes its place.
+	left map[string]estimate
 }
 
 func (h *holding) outstanding(now time.Duration) float64 {
@@ -46,7 +75,7 @@
 
 // Pool is the duty holder's account of all shares. The zero value is empty.
 type Pool struct {
-	teams map[string]map[string]*holding // by team and VM
+	teams map[string]*account
 	seq   uint64
 }
 
@@ -62,6 +91,7 @@
 // Report is what a VM tells of its shares.
 type Report struct {
 	VM   string
+	Zone string // availability zone
 	Run  uint64 // of its process: what an earlier one held is not in use any more
 	Seq  uint64 // of the grants adopted last, zero for those of another holder
 	Held map[string]Held
@@ -72,65 +102,97 @@
 // reported yet may be in use, and only what the others held is divided.
 func (p *Pool) Renew(r Report, live int, closed bool, now time.Duration) (map[string]float64, uint64) {
 	if p.teams == nil {
-		p.teams = make(map[string]map[string]*holding)
+		p.teams = make(map[string]*account)
 	}
 	p.seq++
 	out := make(map[string]float64, len(r.Held))
 	for team, h := range r.Held {
-		vms := p.teams[team]
-		if vms == nil {
-			vms = make(map[string]*holding)
-			p.teams[team] = vms
-		}
-		own := vms[r.VM]
-		if own == nil || own.run != r.Run {
-			own = &holding{run: r.Run, before: h.Amount}
-			vms[r.VM] = own
-			if h.Left > 0 && h.Amount > 0 {
-				own.grants = []grant{{amount: h.Amount, until: now + h.Left}}
-			}
+		a := p.teams[team]
+		if a == nil {
+			a = &account{vms: make(map[string]*holding), left: make(map[string]estimate)}
+			p.teams[team] = a
 		}
+		own := a.holding(&r, h, now)
 		if h.Released {
-			delete(vms, r.VM)
+			a.release(own, now)
 			continue
 		}
+		if own.heard == 0 {
+			own.first = a.left[r.Zone]
+			delete(a.left, r.Zone)
+		}
 		own.demand, own.heard = h.Demand, now
 		own.grants = slices.DeleteFunc(own.grants, func(g grant) bool { return g.seq < r.Seq })
-		amount := p.amount(vms, r.VM, live, closed, now)
+		amount := a.amount(own, live, closed, now)
 		own.grants = append(own.grants, grant{seq: p.seq, amount: amount, until: now + Life})
 		out[team] = amount
 	}
 	return out, p.seq
 }
 
+// holding returns what is known of the VM that reports, with what it held from an
+// earlier holder if this is its first report.
+func (a *account) holding(r *Report, h Held, now time.Duration) *holding {
+	own := a.vms[r.VM]
+	if own != nil && own.run == r.Run {
+		return own
+	}
+	if own != nil {
+		a.release(own, now) // by its end
+	}
+	own = &holding{run: r.Run, zone: r.Zone, before: h.Amount}
+	if h.Left > 0 && h.Amount > 0 {
+		own.grants = []grant{{amount: h.Amount, until: now + h.Left}}
+	}
+	a.vms[r.VM] = own
+	return own
+}
+
+// release takes a VM's share back. What it held from an earlier holder stays
+// known, for the keeper that takes its place.
+func (a *account) release(h *holding, now time.Duration) {
+	if h.heard > 0 {
+		a.left[h.zone] = estimate{h.expected(now), now}
+	}
+	h.grants, h.demand, h.heard, h.first = nil, 0, 0, estimate{}
+}
+
 // amount decides the share of a VM.
-func (p *Pool) amount(vms map[string]*holding, vm string, live int, closed bool, now time.Duration) float64 {
+func (a *account) amount(own *holding, live int, closed bool, now time.Duration) float64 {
 	demand, others, before := 0.0, 0.0, 0.0
 	reporting := 0
-	for name, h := range vms {
-		o := h.outstanding(now)
-		if name != vm {
-			others += o
+	for _, h := range a.vms {
+		if h != own {
+			others += h.outstanding(now)
 		}
-		if now-h.heard < Life {
-			demand += h.demand
+		if h.reports(now) {
+			demand += h.expected(now)
 			reporting++
 		}
 		before += h.before
 	}
+	for _, e := range a.left {
+		if now-e.at < newKeeper {
+			demand += e.now(now) // its next keeper is about to ask
+			reporting++
+		}
+	}
 	whole := 1.0
 	if closed {
 		// All that the earlier holder granted summed to one at most; what is not
 		// with the VMs that have reported may be with the others.
 		whole = min(1, before)
 	}
-	own := vms[vm]
+	current := own.outstanding(now)
 	want := whole / float64(max(1, live))
-	if demand > 0 && (closed || reporting >= live) {
+	if closed && current > 0 {
+		// The demand of those that have reported first says nothing yet.
+		return max(0, min(max(current, want), whole-others))
+	}
+	if demand > 0 && !closed && reporting >= live {
 		// Before all have told their demand, the first ones would get it all.
-		want = whole * (even/float64(max(1, live)) + (1-even)*own.demand/demand)
+		want = whole * (even/float64(max(1, live)) + (1-even)*own.expected(now)/demand)
 	}
-	current := own.outstanding(now)
 	sum := current + others
 	if d := want - current; d < step && d > -step && sum <= whole && sum > whole-step {
 		return current
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -257,3 +257,63 @@
 		}
 	}
 }
+
+// The duty changes hands at a planned stop: shares go on as they are until the next
+// holder has heard from all, and a keeper that gave up its share leaves it to the
+// one that takes its place.
+func TestSharesGoOnUnderTheNextHolder(t *testing.T) {
+	var p share.Pool
+	for i, tc := range []struct {
+		name   string
+		vm     string
+		amount float64
+		left   time.Duration
+		least  float64
+	}{
+		{"first to report", "a", 0.5, share.Life, 0.5},
+		{"keeper before", "b", 0.4, 0, 0.1},
+		{"keeper after it", "c", 0, 0, 0},
+	} {
+		got, _ := p.Renew(share.Report{VM: tc.vm, Run: uint64(i + 1), Held: held(tc.amount, tc.left, 10)}, 3, true, time.Second)
+		if got["t"] < tc.least {
+			t.Errorf("%s: got %.2f, want at least %.2f", tc.name, got["t"], tc.least)
+		}
+	}
+	p.Renew(share.Report{VM: "b", Run: 2, Held: map[string]share.Held{"t": {Released: true}}}, 3, true, time.Second)
+	got, _ := p.Renew(share.Report{VM: "c", Run: 3, Held: held(0, 0, 10)}, 3, true, time.Second)
+	if got["t"] < 0.3-1e-9 {
+		t.Errorf("got %.2f of the 0.4 that were given up, want 0.3, a third of the whole that is known", got["t"])
+	}
+}
+
+// A zone's keeper of a busy team stops as planned: the zone's next keeper gets what
+// the zone needs, though it has measured nothing yet. Found on cca-pollendoor
+// trouble-2, where it got an idle zone's share and the other zones took the rest.
+func TestNextKeeperTakesOverTheZonesDemand(t *testing.T) {
+	var p share.Pool
+	now := time.Second
+	renew := func(vm, zone string, run uint64, amount, demand float64, released bool) float64 {
+		got, _ := p.Renew(share.Report{VM: vm, Zone: zone, Run: run, Held: map[string]share.Held{
+			"t": {Amount: amount, Left: share.Life, Demand: demand, Released: released},
+		}}, 2, false, now)
+		return got["t"]
+	}
+	renew("a", "north", 1, 0, 30, false)
+	renew("b", "south", 2, 0, 10, false)
+	now += 4 * time.Second
+	before := renew("a", "north", 1, 0, 30, false)
+	idle := renew("b", "south", 2, 0, 10, false)
+	renew("a", "north", 1, 0, 0, true)
+	now += 50 * time.Millisecond
+	if got := renew("b", "south", 2, idle, 10, false); got > idle+0.05 {
+		t.Errorf("other zone: got %.2f, want no more than the %.2f before", got, idle)
+	}
+	now += 50 * time.Millisecond
+	if got := renew("c", "north", 3, 0, 0, false); got < before-0.1 {
+		t.Errorf("next keeper: got %.2f, want about the %.2f of the one before", got, before)
+	}
+	now += 50 * time.Millisecond
+	if got := renew("c", "north", 4, 0, 0, false); got < before-0.15 {
+		t.Errorf("next process of the same VM: got %.2f, want about %.2f", got, before)
+	}
+}
