reign, fleet, spec: most promises let a holder go on, signs at the store

All members had to promise that they claim nothing, so every lease ended 2.5 s later and nobody served primaries till the cut healed. The VMs on the other side, which reached the store, waited 5.3 s before they took the duty over: they could not tell whether they were the ones cut off.

Ruled out: replicas that lag (reads were refused without being offered), rates.

Change: - The promises of most members let the holder go on for 8 s after its last proof, those of all for 30 s. A promise also binds a member to confirm no other holder's record. A new holder replaces primaries, and changes the members, only once most of those that it found have confirmed its record, or the holder before it has, a lease ago, or no promise can last any longer. - The holder proves its hold by a write that grows a number in the record. VMs that are cut off see it there: without it for 1.8 s the duty is taken over, with it not. - Of two holders each divides only what its VMs hold of a rate.

Found on the way, by the new state machine test over the Go core: a VM that restarts in a cut could take a lease from the holder before, though its earlier process had confirmed the next one (it waits for a lease now, unless it has read the record); a strike by the holder before was not waited for when all members had confirmed.

--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -75,6 +75,8 @@
 	storeRead time.Duration            // start of this VM's last read of the record
 	storeOK   bool                     // it succeeded
 	storeFrom time.Duration            // start of the first of the reads that succeeded since one failed
+	sign      uint64                   // the holder's last one at the store that this VM knows
+	signAt    time.Duration            // when it learned of it
 	differs   time.Duration            // since when the holder knows other targets, zero if not
 	renewing  bool
 	fetching  bool // a configuration from another VM
@@ -94,6 +96,13 @@
 
 func (b *beat) close() { b.conn.Close() }
 
+// signed notes the number of the holder's last sign. The caller holds mu.
+func (b *beat) signed(n uint64, now time.Duration) {
+	if n != b.sign || b.signAt == 0 {
+		b.sign, b.signAt = n, now
+	}
+}
+
 // released reports whether the holder has taken this VM out of the view, and has
 // answered a heartbeat in which its shares were given up.
 func (b *beat) released() bool {
@@ -224,6 +233,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p.Echo = b.stamp.Echo(r.Token)
+	// An earlier process may have promised something, too.
+	p.Bound = max(0, max(b.noClaim, b.started+reign.PromiseTime)-now)
 	if w := b.wanted.Echo(r.Token); w > 0 && b.storeRead > w && !b.storeOK && now-b.storeRead > promiseAfter && p.Echo > 0 && now-b.answered < selfLeaseAfter {
 		// Neither the holder nor this VM reaches the store.
 		p.Promise = reign.PromiseTime
@@ -354,11 +365,12 @@
 	if r.Token != p.Token || r.Version != p.Version {
 		return // it answers for a record that this VM does not have
 	}
-	if p.Lease > 0 {
+	if p.Lease > 0 && reign.MayAdopt(b.listed.Load(), now-b.started) {
 		v.changeLease(func(l *reign.Lease) bool { return l.Adopt(r, p.Echo, p.Lease) })
 	}
 	b.mu.Lock()
 	b.answered, b.stamp = now, reign.Stamp{Token: p.Token, At: p.Stamp}
+	b.signed(p.Sign, now)
 	if !p.Want {
 		b.wanted = reign.Stamp{}
 	} else if b.wanted.Token != p.Token {
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -42,6 +42,7 @@
 	held    bool
 	state   reign.Duty
 	object  uint64 // version of the record's object in the store
+	sign    uint64 // number of the last sign that was written
 	peers   map[string]peer
 	view    view
 	pool    share.Pool
@@ -79,7 +80,7 @@
 	if r.Token != from {
 		return // somebody else was faster
 	}
-	next := storedRecord{Record: r.Record.Claim(v.Settings.VM, v.Settings.IP), Run: v.run}
+	next := storedRecord{Record: r.Record.Claim(v.Settings.VM, v.Settings.IP), Run: v.run, Sign: r.Sign + 1}
 	start := clock.Now()
 	object, err = d.put(ctx, object, next)
 	if err != nil {
@@ -89,8 +90,8 @@
 	now := clock.Now()
 	d.mu.Lock()
 	d.held, d.object = true, object
-	d.state = reign.Duty{Self: v.Settings.VM, Record: r.Record, Claimed: now}
-	d.state.Written(next.Record, start, now)
+	d.state = reign.Claim(v.Settings.VM, r.Record, next.Record, start, now)
+	d.sign = next.Sign
 	d.peers = map[string]peer{v.Settings.VM: v.self()}
 	d.view = view{Version: next.Token<<32 | 1, Peers: v.view.Load().Peers}
 	d.pool = share.Pool{}
@@ -131,11 +132,14 @@
 	for {
 		d.mu.Lock()
 		held, object, old := d.holding(), d.object, d.state.Record
-		d.mu.Unlock()
 		if !held {
+			d.mu.Unlock()
 			return errLost
 		}
-		next := storedRecord{Record: change(old), Run: d.vm.run}
+		next := storedRecord{Record: change(old), Run: d.vm.run, Sign: d.sign + 1}
+		next.Settled = d.state.Clear(clock.Now())
+		d.state.Propose(next.Members)
+		d.mu.Unlock()
 		start := clock.Now()
 		version, err := d.put(ctx, object, next)
 		if err == nil {
@@ -163,7 +167,7 @@
 
 func (d *duty) written(object uint64, r storedRecord, start time.Duration) {
 	d.mu.Lock()
-	d.object = object
+	d.object, d.sign = object, r.Sign
 	// The VM's own lease first: nobody may believe that it has dropped a primary
 	// that it still uses.
 	d.vm.learn(r, "own write")
@@ -172,6 +176,35 @@
 	d.poke()
 }
 
+// prove proves that this process holds the duty by a write that changes nothing but
+// the number of its signs: VMs that are cut off from it see that it reaches the
+// store. Any other write proves as much.
+func (d *duty) prove(ctx context.Context) error {
+	if !d.writing.TryLock() {
+		return nil
+	}
+	defer d.writing.Unlock()
+	d.mu.Lock()
+	held, object := d.holding(), d.object
+	r := storedRecord{Record: d.state.Record, Run: d.vm.run, Sign: d.sign + 1}
+	r.Settled = held && d.state.Clear(clock.Now())
+	d.mu.Unlock()
+	if !held {
+		return errLost
+	}
+	start := clock.Now()
+	version, err := d.put(ctx, object, r)
+	if err != nil {
+		d.vm.Log.Debug().Err(err).Msg("sign of the holder not written")
+		return d.confirm(ctx)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.object, d.sign = version, r.Sign
+	d.state.Confirmed = max(d.state.Confirmed, start)
+	return nil
+}
+
 // confirm proves that this process holds the duty by reading the record.
 func (d *duty) confirm(ctx context.Context) error {
 	start := clock.Now()
@@ -196,7 +229,7 @@
 		d.vm.learn(r, "confirm")
 		d.state.Written(r.Record, start, clock.Now())
 	}
-	d.object = object
+	d.object, d.sign = object, max(d.sign, r.Sign)
 	d.state.Confirmed = max(d.state.Confirmed, start)
 	d.mu.Unlock()
 	return nil
@@ -248,7 +281,7 @@
 		if due && confirming.TryLock() {
 			go func() {
 				defer confirming.Unlock()
-				if err := d.confirm(ctx); err != nil && !errors.Is(err, errLost) {
+				if err := d.prove(ctx); err != nil && !errors.Is(err, errLost) {
 					pollendoor.Pause(ctx, retryPause)
 				}
 			}()
@@ -262,6 +295,7 @@
 func (d *duty) admit(ctx context.Context, now time.Duration) {
 	d.mu.Lock()
 	list, changed := d.state.Members(now)
+	keep := d.state.KeepStruck(now)
 	due := now-d.members > memberPeriod && !d.moves[membersMove]
 	if changed && due {
 		d.members = now
@@ -272,7 +306,7 @@
 		return
 	}
 	go func() {
-		err := d.write(ctx, func(r reign.Record) reign.Record { return r.WithMembers(list) })
+		err := d.write(ctx, func(r reign.Record) reign.Record { return r.WithMembers(list, keep) })
 		if err != nil {
 			d.vm.Log.Warn().Err(err).Strs("members", list).Msg("members not written")
 		} else {
--- a/fleet/grant.go
+++ b/fleet/grant.go
@@ -29,7 +29,7 @@
 	if v.shareToken() != d.state.Record.Token {
 		seq = 0
 	}
-	shares, seq := d.pool.Renew(share.Report{VM: v.Settings.VM, Zone: v.Settings.Zone, Run: v.run, Seq: seq, Held: held}, d.sharers(), d.closed(now), now)
+	shares, seq := d.pool.Renew(share.Report{VM: v.Settings.VM, Zone: v.Settings.Zone, Run: v.run, Seq: seq, Held: held}, d.sharers(), d.division(now), now)
 	if c := v.Config(); c != nil {
 		v.setShareToken(d.state.Record.Token)
 		v.buckets.Adopt(shares, seq, c.Teams, now, now)
@@ -39,10 +39,17 @@
 	v.beat.contact(now)
 }
 
-// closed reports whether shares that an earlier holder granted may be in use
-// unknown to this one.
-func (d *duty) closed(now time.Duration) bool {
-	return !d.state.Complete() && now < d.state.Claimed+share.Life
+// division returns how rates may be divided now.
+func (d *duty) division(now time.Duration) share.Division {
+	switch {
+	case d.state.Settling(share.Life, now) && d.state.Clear(now):
+		return share.Known
+	case d.state.Settling(share.Life, now):
+		return share.Held
+	case !d.state.Proved(now):
+		return share.Frozen // another VM may have taken the duty over
+	}
+	return share.Whole
 }
 
 // sharers returns how many VMs share a team's rate: one keeper in each zone.
@@ -94,7 +101,7 @@
 		// It speaks of an earlier holder's record, clock and shares.
 		version, p.Echo, p.ShareSeq, p.Positions = 0, 0, 0, nil
 	}
-	d.state.Heard(reign.Heartbeat{VM: p.From.Name, Version: version, Echo: p.Echo, Promise: p.Promise, Power: p.Power, Reports: p.Reports}, now)
+	d.state.Heard(reign.Heartbeat{VM: p.From.Name, Version: version, Echo: p.Echo, Promise: p.Promise, Bound: p.Bound, Power: p.Power, Reports: p.Reports}, now)
 	left := p.From.Leaving && d.view.has(p.From.Name)
 	d.peers[p.From.Name] = p.From
 	d.refreshView(now, left)
@@ -104,7 +111,7 @@
 	a := &packet{
 		Kind: packetAnswer, Token: r.Token, Stamp: now, Echo: p.Stamp, Version: r.Version,
 		Lease: d.state.Lease(p.From.Name, now), Positions: make(map[string]position),
-		Relay: p.Relay, To: p.From.IP, Want: now-d.state.Confirmed > wantAfter, Digest: v.targets.load().digest,
+		Sign: d.sign, Relay: p.Relay, To: p.From.IP, Want: now-d.state.Confirmed > wantAfter, Digest: v.targets.load().digest,
 	}
 	if version != r.Version {
 		a.Record = &storedRecord{Record: r, Run: v.run}
@@ -126,7 +133,10 @@
 			a.Positions[name] = position{Since: s.Since - now, Term: s.Position.Term, Index: s.Position.Index}
 		}
 	}
-	a.Shares, a.ShareSeq = d.pool.Renew(share.Report{VM: p.From.Name, Zone: p.From.Zone, Run: p.Run, Seq: p.ShareSeq, Held: p.Held}, d.sharers(), d.closed(now), now)
+	if d.state.Lease(v.Settings.VM, now) == 0 {
+		return a // nobody uses primaries any longer by this holder's word
+	}
+	a.Shares, a.ShareSeq = d.pool.Renew(share.Report{VM: p.From.Name, Zone: p.From.Zone, Run: p.Run, Seq: p.ShareSeq, Held: p.Held}, d.sharers(), d.division(now), now)
 	return a
 }
 
--- a/fleet/leave.go
+++ b/fleet/leave.go
@@ -60,7 +60,10 @@
 	d.mu.Lock()
 	held, object, old := d.holding(), d.object, d.state.Record
 	next, ok := d.state.Successor(d.vm.Settings.VM, d.stays, clock.Now())
-	addr := d.peers[next].IP
+	r := storedRecord{Record: old.Hand(next, d.peers[next].IP), Sign: d.sign + 1} // by no process: the successor has to claim it
+	r.Settled = held && d.state.Clear(clock.Now())
+	// Nothing is granted from here on, whatever becomes of the write.
+	d.held = held && !ok
 	d.mu.Unlock()
 	switch {
 	case !held:
@@ -68,14 +71,9 @@
 	case !ok:
 		return errAlone
 	}
-	r := storedRecord{Record: old.Hand(next, addr)} // by no process: the successor has to claim it
 	if _, err := d.put(ctx, object, r); err != nil {
 		return err
 	}
-	d.mu.Lock()
-	d.held = false
-	d.state.Record = r.Record
-	d.mu.Unlock()
 	d.vm.Log.Info().Str("to", next).Uint64("version", r.Version).Msg("duty handed over")
 	d.vm.learn(r, "own write")
 	d.tell(r)
--- a/fleet/packet.go
+++ b/fleet/packet.go
@@ -40,14 +40,15 @@
 	Echo  time.Duration `cbor:"5,keyasint,omitempty"` // Stamp of the packet answered, or last received
 
 	// Of a heartbeat.
-	Version  uint64                  `cbor:"6,keyasint,omitempty"` // of the record adopted
-	Promise  time.Duration           `cbor:"7,keyasint,omitempty"` // no claim for so long after Echo
-	Reports  map[string]reign.Report `cbor:"8,keyasint,omitempty"`
-	Held     map[string]share.Held   `cbor:"9,keyasint,omitempty"`
-	ShareSeq uint64                  `cbor:"10,keyasint,omitempty"`
-	ViewSeen uint64                  `cbor:"11,keyasint,omitempty"`
-	Power    float64                 `cbor:"25,keyasint,omitempty"` // share of a core
-	Run      uint64                  `cbor:"21,keyasint,omitempty"` // identifies the process
+	Version  uint64                   `cbor:"6,keyasint,omitempty"` // of the record adopted
+	Promise  time.Duration            `cbor:"7,keyasint,omitempty"` // no claim for so long after Echo
+	Reports  map[string]reign.Report  `cbor:"8,keyasint,omitempty"`
+	Held     map[string]share.Holding `cbor:"9,keyasint,omitempty"`
+	ShareSeq uint64                   `cbor:"10,keyasint,omitempty"`
+	ViewSeen uint64                   `cbor:"11,keyasint,omitempty"`
+	Power    float64                  `cbor:"25,keyasint,omitempty"` // share of a core
+	Bound    time.Duration            `cbor:"29,keyasint,omitempty"` // left of a promise that may have been given
+	Run      uint64                   `cbor:"21,keyasint,omitempty"` // identifies the process
 
 	// Of an answer.
 	Lease  time.Duration      `cbor:"12,keyasint,omitempty"`
@@ -55,6 +56,7 @@
 	View   *view              `cbor:"14,keyasint,omitempty"` // if ViewSeen is not the newest
 	Shares map[string]float64 `cbor:"15,keyasint,omitempty"`
 	Digest uint64             `cbor:"20,keyasint,omitempty"` // of the holder's targets
+	Sign   uint64             `cbor:"30,keyasint,omitempty"` // the holder's last one at the store
 	Want   bool               `cbor:"19,keyasint,omitempty"` // the holder needs promises: it does not reach the store
 
 	Config    uint64              `cbor:"16,keyasint,omitempty"` // version in force at the sender
--- a/fleet/takeover.go
+++ b/fleet/takeover.go
@@ -30,6 +30,7 @@
 	defer b.mu.Unlock()
 	s := reign.Sight{Self: b.vm.Settings.VM, Power: b.vm.Settings.CPU, Record: *r, Silent: silent, NoClaim: b.noClaim}
 	s.Store, s.StoreFor = b.storeOK && now-b.storeRead < tellAge, now-b.storeFrom
+	s.Sign = now - b.signAt
 	if w := b.wanted.Echo(r.Token); w > 0 {
 		s.Without = now - w
 	}
@@ -85,6 +86,9 @@
 			v.Log.Error().Err(err).Msg("record ignored")
 			return
 		}
+		b.mu.Lock()
+		b.signed(r.Sign, clock.Now())
+		b.mu.Unlock()
 		v.learn(r, "own read")
 		if r.Member(v.Settings.VM) {
 			v.changeLease(func(l *reign.Lease) bool { return l.Adopt(r.Record, sent, reign.LeaseTime-reign.ClockSlack) })
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -310,10 +310,12 @@
 	return r, errors.Wrap(err, "record")
 }
 
-// storedRecord is the record with the process that holds the duty.
+// storedRecord is the record with the process that holds the duty, and a number
+// that it grows with each proof of its hold.
 type storedRecord struct {
 	reign.Record
-	Run uint64 `json:"run"`
+	Run  uint64 `json:"run"`
+	Sign uint64 `json:"sign,omitempty"`
 }
 
 // learn takes a record that somebody has written.
--- a/reign/duty.go
+++ b/reign/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -17,6 +18,9 @@
 	// doubtTime is how long nobody has reached a primary before it is replaced:
 	// longer than its longest statement, and three of its probes.
 	doubtTime = 700 * time.Millisecond
+	// provedTime is how long after its last proof a holder divides rates anew:
+	// longer than two of its proofs take to come.
+	provedTime = 1500 * time.Millisecond
 	// missingTime is how long a primary's entry is missing before it is taken to
 	// have left: entries that lapsed in an outage of the store come back.
 	missingTime = 2500 * time.Millisecond
@@ -37,6 +41,7 @@
 	heard    time.Duration // zero for not since the claim
 	version  uint64        // of the record that it has adopted
 	promised time.Duration // until then it claims nothing
+	bound    time.Duration // until then it may have promised that to an earlier holder
 	power    float64
 	reports  map[string]Report
 }
@@ -48,6 +53,11 @@
 	Claimed   time.Duration // when the claim was known to be written
 	Confirmed time.Duration // start of the last call that proved the hold
 	struck    time.Duration // when a member was last struck off
+	base      []string      // members when the duty was claimed
+	proposed  []string      // members that a write names whose outcome is not known yet
+	former    string        // the only earlier holder whose leases may be in use, if that is so
+	relieved  time.Duration // when it was known to grant none any longer, zero if it is not
+	cleared   time.Duration // when no lease of an earlier holder was left, zero while one may be
 	members   map[string]*member
 	intents   map[string]time.Duration // when a group's move was written
 	changed   map[string]uint64        // version of the record that moved it
@@ -59,6 +69,7 @@
 	Version uint64            // of the record that it has adopted
 	Echo    time.Duration     // the holder's time that it repeats, from an earlier answer
 	Promise time.Duration     // how long after Echo it claims nothing
+	Bound   time.Duration     // how long it may still be bound by a promise to an earlier holder
 	Power   float64           // share of a core that it has
 	Reports map[string]Report // by group
 }
@@ -74,36 +85,123 @@
 		d.members[b.VM] = m
 	}
 	m.heard, m.version, m.reports, m.power = now, b.Version, b.Reports, b.Power
+	m.bound = now + b.Bound
+	if b.VM == d.former && b.Version > 0 && d.relieved == 0 {
+		d.relieved = now
+	}
 	if b.Echo > 0 && b.Echo <= now {
 		m.promised = max(m.promised, b.Echo+b.Promise)
 	}
 }
 
+// Claim takes a record in which this VM has just become the holder. Base is the one
+// that it found, start when the write began.
+func Claim(self string, base, r Record, start, now time.Duration) Duty {
+	d := Duty{Self: self, Record: base, Claimed: now, base: base.Members}
+	if base.Settled {
+		d.former = base.Holder
+	}
+	if d.former == self {
+		d.relieved = now // an earlier process, or one that has handed the duty over
+	}
+	d.Clear(now)
+	if len(base.Struck) > 0 {
+		d.struck = now // by the holder before, not long ago
+	}
+	d.Written(r, start, now)
+	return d
+}
+
 // Lease returns how long a lease may be granted now, counted from when its
 // request was sent; zero for none.
 func (d *Duty) Lease(vm string, now time.Duration) time.Duration {
-	if !d.Record.Member(vm) {
+	if !d.Record.Member(vm) || d.proposed != nil && !slices.Contains(d.proposed, vm) {
 		return 0
 	}
 	until := max(d.Confirmed+LeaseTime, d.promisedUntil()) - ClockSlack
 	return max(0, min(LeaseTime, until-now))
 }
 
-// promisedUntil returns the time until which all other members have promised to
-// claim nothing.
+// promisedUntil returns until when promises let the holder go on.
 func (d *Duty) promisedUntil() time.Duration {
-	until := time.Duration(1<<63 - 1)
-	for _, name := range d.Record.Members {
+	most, all := d.promises(d.Record.Members)
+	if d.proposed != nil {
+		m, a := d.promises(d.proposed)
+		most, all = min(most, m), min(all, a)
+	}
+	return max(min(most, d.Confirmed+HoldTime), min(all, d.Confirmed+FarTime))
+}
+
+// promises returns the time until which most of the members have promised to claim
+// nothing, and that for all of them. This VM counts as one that has.
+func (d *Duty) promises(members []string) (most, all time.Duration) {
+	if len(members) == 0 {
+		return 0, 0
+	}
+	list := make([]time.Duration, 0, len(members))
+	for _, name := range members {
+		switch m := d.members[name]; {
+		case name == d.Self:
+			list = append(list, math.MaxInt64)
+		case m == nil:
+			list = append(list, 0)
+		default:
+			list = append(list, m.promised)
+		}
+	}
+	slices.Sort(list)
+	return list[(len(list)-1)/2], list[0]
+}
+
+// Proved reports whether the holder has lately proved its hold, so that no other VM
+// can have promoted or granted anything since.
+func (d *Duty) Proved(now time.Duration) bool {
+	_, all := d.promises(d.Record.Members)
+	return now < d.Confirmed+provedTime || now < min(all, d.Confirmed+FarTime)
+}
+
+// Clear reports whether leases that an earlier holder granted by promises have
+// ended: most members that were found at the claim have confirmed this holder's
+// record, or that holder itself has, a lease ago, or no promise can last any longer.
+func (d *Duty) Clear(now time.Duration) bool {
+	if d.cleared > 0 {
+		return true
+	}
+	n, wait := 0, FarTime
+	for _, name := range d.base {
 		if name == d.Self {
+			n, wait = n+1, HoldTime
 			continue
 		}
-		m := d.members[name]
-		if m == nil {
-			return 0
+		if m := d.members[name]; m != nil && m.version > 0 && now >= m.bound {
+			n++
 		}
-		until = min(until, m.promised)
 	}
-	return until
+	relieved := d.relieved > 0 && now >= d.relieved+LeaseTime+ClockSlack
+	if 2*n > len(d.base) || len(d.base) == 0 || relieved || now >= d.Claimed+wait+ClockSlack {
+		d.cleared = max(now, 1)
+		return true
+	}
+	return false
+}
+
+// Settling reports whether shares of rates that an earlier holder granted may be in
+// use unknown to this one. They last for life.
+func (d *Duty) Settling(life, now time.Duration) bool {
+	return !d.Complete() && (!d.Clear(now) || now < max(d.Claimed, d.cleared)+life)
+}
+
+// Propose notes the members that a write names, before it is sent. Until the outcome
+// is known, promises have to suffice by the old list and by the new one.
+func (d *Duty) Propose(members []string) {
+	if !slices.Equal(members, d.Record.Members) {
+		d.proposed = members
+	}
+}
+
+// KeepStruck reports whether a member that was struck off may still hold a lease.
+func (d *Duty) KeepStruck(now time.Duration) bool {
+	return d.struck > 0 && now < d.struck+LeaseTime+ClockSlack
 }
 
 // Written takes a record that this VM has written, with the start of the call.
@@ -125,6 +223,9 @@
 			d.struck = now
 		}
 	}
+	if r.Version > d.Record.Version {
+		d.proposed = nil
+	}
 	d.Record, d.Confirmed = r, max(d.Confirmed, start)
 }
 
@@ -134,13 +235,13 @@
 	if !d.Record.Groups[group].Moving {
 		return false
 	}
-	if now < d.struck+LeaseTime+ClockSlack && d.struck > 0 {
-		return false
-	}
 	since := max(d.intents[group], d.Claimed)
-	if now >= since+LeaseTime+ClockSlack {
+	if now >= since+LeaseTime+ClockSlack && d.Clear(now) {
 		return true
 	}
+	if d.KeepStruck(now) {
+		return false
+	}
 	for _, name := range d.Record.Members {
 		if name == d.Self {
 			continue // its own lease follows the record at once
@@ -163,6 +264,9 @@
 // powerful come first, as they are the first to take the duty over: the holder's
 // work grows with the fleet.
 func (d *Duty) Members(now time.Duration) ([]string, bool) {
+	if !d.Clear(now) {
+		return d.Record.Members, false // what an earlier holder may count on
+	}
 	var list []string
 	for _, name := range d.Record.Members {
 		m := d.members[name]
--- a/reign/lease.go
+++ b/reign/lease.go
@@ -44,13 +44,22 @@
 	return true
 }
 
+// MayAdopt reports whether a VM may take a lease from a holder. An earlier process
+// of the VM may have confirmed the next holder's record: a process that has not read
+// the record waits until the one before can't grant leases any longer.
+func MayAdopt(listed bool, age time.Duration) bool { return listed || age > LeaseTime }
+
 // TakeoverAfter is how long the holder is silent before another VM considers to
 // take the duty over: three heartbeats.
 const TakeoverAfter = 1300 * time.Millisecond
 
-// loneTakeover is how long a VM that hears from less than half of the others
-// waits: most likely it is the one that is cut off.
-const loneTakeover = 4 * time.Second
+// lostSign is how long the holder gives no sign at the store before a VM that hears
+// from less than half of the others takes the duty over: three of those signs.
+const lostSign = 1800 * time.Millisecond
+
+// strangerDelay is how much longer a VM waits that is no member: a takeover by it
+// has to wait longer, too, before it replaces a primary.
+const strangerDelay = 4 * time.Second
 
 // withoutStore is how long the holder is without the store before a VM that
 // reaches it takes the duty over.
@@ -76,6 +85,7 @@
 	Without   time.Duration // since the holder says that it does not reach the store
 	Store     bool          // this VM has reached the store just now
 	StoreFor  time.Duration // since when it does
+	Sign      time.Duration // since this VM learned of the holder's last sign at the store
 }
 
 // MayClaim decides whether a VM claims the duty now.
@@ -110,8 +120,12 @@
 		return false
 	}
 	wait := TakeoverAfter + turn
-	if !s.Record.Member(s.Self) || 2*s.Answered < s.Others {
-		wait += loneTakeover
+	if !s.Record.Member(s.Self) {
+		wait += strangerDelay
+	}
+	if 2*s.Answered < s.Others && (!s.Store || s.Sign < lostSign) {
+		// Most likely this VM is the one that is cut off.
+		return false
 	}
 	return s.Silent >= wait
 }
--- /dev/null
+++ b/reign/model_test.go
@@ -0,0 +1,272 @@
+package reign_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/pollendoor/pollendoor/reign"
+)
+
+// simVM is a VM of the simulated fleet.
+type simVM struct {
+	name    string
+	side    int // of the cut, if there is one; only the first side reaches the store
+	lease   reign.Lease
+	noClaim time.Duration
+	started time.Duration
+	listed  bool // it has read the record since its start
+	stamp   reign.Stamp
+	duty    *reign.Duty // if it holds the duty, as far as it knows
+}
+
+// sim is a fleet around a store, with the decisions of this package and whatever
+// may happen to messages and calls between them.
+type sim struct {
+	*rapid.T
+	now   time.Duration
+	store reign.Record
+	late  []reign.Record // writes that the store may yet carry out
+	vms   []*simVM
+}
+
+// oneOf draws true in one of n cases.
+func (s *sim) oneOf(n int) bool { return rapid.IntRange(1, n).Draw(s.T, "one of") == 1 }
+
+func (s *sim) lost() bool { return s.oneOf(6) }
+
+// pass lets time pass.
+func (s *sim) pass() {
+	s.now += time.Duration(rapid.IntRange(0, 600).Draw(s.T, "ms")) * time.Millisecond
+}
+
+// beat sends a heartbeat to a holder, which answers with a lease.
+func (s *sim) beat(v, h *simVM) {
+	if h.duty == nil || h == v || h.side != v.side || v.lease.Record.Token > h.duty.Record.Token {
+		return
+	}
+	r := v.lease.Record
+	b := reign.Heartbeat{VM: v.name, Power: 1, Bound: max(0, max(v.noClaim, v.started+reign.PromiseTime)-s.now)}
+	if r.Token == h.duty.Record.Token {
+		b.Version, b.Echo = r.Version, v.stamp.Echo(r.Token)
+		if b.Echo > 0 && v.listed && (v.side > 0 || s.oneOf(8)) {
+			b.Promise, v.noClaim = reign.PromiseTime, max(v.noClaim, s.now+reign.PromiseTime)
+		}
+	}
+	sent := s.now
+	if s.lost() {
+		return
+	}
+	h.duty.Heard(b, s.now)
+	stamp, length, answer := s.now, h.duty.Lease(v.name, s.now), h.duty.Record
+	if s.lost() {
+		return
+	}
+	if s.oneOf(4) {
+		s.pass()
+	}
+	if answer.Token < v.lease.Record.Token {
+		return
+	}
+	v.lease.Learn(answer)
+	if v.lease.Record.Token == answer.Token && v.lease.Record.Version == answer.Version {
+		if length > 0 && reign.MayAdopt(v.listed, s.now-v.started) {
+			v.lease.Adopt(answer, sent, length)
+		}
+		v.stamp = reign.Stamp{Token: answer.Token, At: stamp}
+	}
+}
+
+// own renews a holder's lease by its own word.
+func (s *sim) own(h *simVM) {
+	h.duty.Heard(reign.Heartbeat{VM: h.name, Version: h.duty.Record.Version, Power: 1}, s.now)
+	if l := h.duty.Lease(h.name, s.now); l > 0 {
+		h.lease.Adopt(h.duty.Record, s.now, l)
+	}
+}
+
+// read lets a VM read the record.
+func (s *sim) read(v *simVM) {
+	if v.side > 0 {
+		return
+	}
+	v.listed = true
+	v.lease.Learn(s.store)
+	if s.store.Member(v.name) {
+		v.lease.Adopt(s.store, s.now, reign.LeaseTime-reign.ClockSlack)
+	}
+	if v.duty != nil && v.duty.Record.Token != s.store.Token {
+		v.duty = nil
+	} else if v.duty != nil {
+		v.duty.Written(s.store, s.now, s.now) // a proof, or a write whose answer was lost
+	}
+}
+
+// write sends a record of a holder to the store, which takes it if it follows the
+// one that it has; the answer, or the write itself for a while, may be lost.
+func (s *sim) write(h *simVM, r reign.Record) {
+	if h.duty.Record.Token != s.store.Token || h.duty.Record.Version != s.store.Version {
+		return
+	}
+	r.Settled = h.duty.Clear(s.now)
+	h.duty.Propose(r.Members)
+	switch {
+	case h.side > 0:
+	case s.oneOf(4):
+		s.late = append(s.late, r)
+	case s.oneOf(4):
+		s.store = r
+	default:
+		s.store = r
+		h.lease.Learn(r)
+		h.duty.Written(r, s.now, s.now)
+	}
+}
+
+// arrive carries out a write that was held up.
+func (s *sim) arrive() {
+	if len(s.late) == 0 {
+		return
+	}
+	r := s.late[0]
+	s.late = s.late[1:]
+	if r.Token == s.store.Token && r.Version == s.store.Version+1 {
+		s.store = r
+	}
+}
+
+// claim lets a VM take the duty over.
+func (s *sim) claim(v *simVM) {
+	if s.now < v.noClaim || v.duty != nil || v.side > 0 {
+		return
+	}
+	base := s.store
+	s.store = base.Claim(v.name, "")
+	d := reign.Claim(v.name, base, s.store, s.now, s.now)
+	v.duty = &d
+	v.lease.Learn(s.store)
+}
+
+// restart lets a VM start anew: it knows what the store tells it.
+func (s *sim) restart(v *simVM) {
+	*v = simVM{name: v.name, side: v.side, started: s.now}
+	s.read(v)
+}
+
+// hand lets a holder hand the duty over.
+func (s *sim) hand(v, to *simVM) {
+	if v.duty.Record.Token != s.store.Token || v.duty.Record.Version != s.store.Version || v.side > 0 || v == to {
+		return
+	}
+	r := s.store.Hand(to.name, "")
+	r.Settled = v.duty.Clear(s.now)
+	v.duty = nil
+	if s.oneOf(4) {
+		s.late = append(s.late, r)
+		return
+	}
+	s.store = r
+}
+
+// members lets a holder follow the members that it hears.
+func (s *sim) members(h *simVM) {
+	if list, changed := h.duty.Members(s.now); changed {
+		s.write(h, h.duty.Record.WithMembers(list, h.duty.KeepStruck(s.now)))
+	}
+}
+
+// move lets a holder begin to replace the group's primary.
+func (s *sim) move(h *simVM) {
+	if g := h.duty.Record.Groups["g"]; !g.Moving {
+		s.write(h, h.duty.Record.WithGroup("g", g.Move(false)))
+	}
+}
+
+// cut draws the sides anew: none, or one with the store and one without.
+func (s *sim) cut() {
+	whole := s.oneOf(3)
+	for _, v := range s.vms {
+		v.side = 0
+		if !whole {
+			v.side = rapid.IntRange(0, 1).Draw(s.T, "side")
+		}
+	}
+}
+
+// round lets all VMs do what they do every half second or so.
+func (s *sim) round() {
+	s.pass()
+	if s.oneOf(8) {
+		s.cut()
+	}
+	for _, v := range s.vms {
+		for _, h := range s.vms {
+			s.beat(v, h)
+			s.check()
+		}
+		if v.duty != nil {
+			if s.oneOf(2) {
+				s.read(v)
+			}
+		}
+		if v.duty != nil {
+			s.own(v)
+			s.check()
+			s.members(v)
+			if s.oneOf(6) {
+				s.move(v)
+			}
+			s.check()
+			if s.oneOf(20) {
+				s.hand(v, rapid.SampledFrom(s.vms).Draw(s.T, "successor"))
+			}
+		}
+		switch rapid.IntRange(0, 29).Draw(s.T, "event") {
+		case 0, 1:
+			s.claim(v)
+		case 2:
+			s.restart(v)
+		case 3, 4:
+			s.read(v)
+		case 5:
+			s.arrive()
+		}
+		s.check()
+	}
+}
+
+// check fails if a holder would promote while a VM may still use the old primary.
+func (s *sim) check() {
+	for _, h := range s.vms {
+		if h.duty == nil || h.duty.Record.Token != s.store.Token || !h.duty.Dropped("g", s.now) {
+			continue
+		}
+		for _, v := range s.vms {
+			if v.lease.Holds("g", 1, s.now) {
+				s.Fatalf("%s replaces the primary under token %d while %s holds a lease on it under token %d until %v, at %v",
+					h.name, h.duty.Record.Token, v.name, v.lease.Record.Token, v.lease.Until, s.now)
+			}
+		}
+	}
+}
+
+// Whatever is lost, late, cut off or restarted, no VM may use the old primary once
+// the holder is ready to replace it.
+func TestNobodyUsesAPrimaryThatIsReplaced(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a", "b", "c", "d"}
+		s := &sim{T: t, now: time.Minute}
+		s.store = reign.Record{Members: slices.Clone(names), Groups: map[string]reign.Group{"g": {Epoch: 1, Primary: "p", Term: 1}}, Version: 1}
+		for _, n := range append(names, "x") {
+			v := &simVM{name: n, listed: true}
+			v.lease.Learn(s.store)
+			s.vms = append(s.vms, v)
+		}
+		s.claim(s.vms[0])
+		for range rapid.IntRange(1, 40).Draw(t, "rounds") {
+			s.round()
+		}
+	})
+}
--- a/reign/record.go
+++ b/reign/record.go
@@ -10,8 +10,11 @@
 //
 // A lease is counted from when its request was sent, so that it ends on the VM
 // before the holder believes so, and it never reaches beyond LeaseTime after the
-// holder last proved that no other VM holds the duty: by a read or write of the
-// record, or by promises of all members that they claim nothing.
+// holder last proved, by a read or write of the record, that no other VM holds the
+// duty. A holder that loses the store goes on for a while by promises: members that
+// don't reach the store either promise to claim nothing and to confirm no other
+// holder's record. A new holder replaces primaries only once most of the members
+// that it found have confirmed its record, or no promise can last any longer.
 package reign
 
 import (
@@ -26,11 +29,21 @@
 // that its holder still is one.
 const LeaseTime = 2500 * time.Millisecond
 
-// PromiseTime is how long a member claims nothing after a heartbeat in which it
-// promised so. It bounds how long leases go on after the last heartbeat while the
-// store is away, and how long a takeover waits behind such a promise.
+// PromiseTime is how long a member claims nothing, and confirms no other holder's
+// record, after a heartbeat in which it promised so. It bounds how long leases go on
+// after the last heartbeat while the store is away, and how long a takeover waits
+// behind such a promise.
 const PromiseTime = 2000 * time.Millisecond
 
+// HoldTime is how long after its last proof a holder may go on by the promises of
+// most members: longer than most cuts between VMs and store last. A takeover that
+// most members don't confirm waits as long before it replaces a primary.
+const HoldTime = 8 * time.Second
+
+// FarTime is the same for the promises of all members, and for a takeover by a VM
+// that is no member: longer than the store is usually away.
+const FarTime = 30 * time.Second
+
 // ClockSlack covers the difference in speed of two VMs' clocks over a lease.
 const ClockSlack = 50 * time.Millisecond
 
@@ -70,6 +83,11 @@
 	Addr    string           `json:"addr"`   // the holder's heartbeat address
 	Groups  map[string]Group `json:"groups"`
 	Members []string         `json:"members"` // VMs that may hold leases and claim the duty
+	// Struck is former members that were struck off lately: they may hold a lease
+	// that they got by a read of an older record.
+	Struck []string `json:"struck,omitempty"`
+	// Settled says that no lease of an earlier holder than this one is in use.
+	Settled bool `json:"settled,omitempty"`
 }
 
 // Member reports whether the VM may hold leases.
@@ -83,16 +101,17 @@
 	for k, g := range r.Groups {
 		n.Groups[k] = g
 	}
-	n.Members = slices.Clone(r.Members)
+	n.Members, n.Struck = slices.Clone(r.Members), slices.Clone(r.Struck)
 	return n
 }
 
-// Claim returns the record with vm as its holder under the next token.
+// Claim returns the record with vm as its holder under the next token. Only the
+// first holder becomes a member by it: others wait until the members may change.
 func (r *Record) Claim(vm, addr string) Record {
 	n := r.next()
 	n.Token++
-	n.Holder, n.Addr = vm, addr
-	if !n.Member(vm) {
+	n.Holder, n.Addr, n.Settled = vm, addr, false
+	if len(n.Members) == 0 {
 		n.Members = append(n.Members, vm)
 	}
 	return n
@@ -112,10 +131,20 @@
 	return n
 }
 
-// WithMembers returns the record with other members.
-func (r *Record) WithMembers(list []string) Record {
+// WithMembers returns the record with other members. Those struck off before are
+// kept as such if some of them may still hold a lease.
+func (r *Record) WithMembers(list []string, keepStruck bool) Record {
 	n := r.next()
 	n.Members = slices.Clone(list)
+	if !keepStruck {
+		n.Struck = nil
+	}
+	for _, m := range r.Members {
+		if !slices.Contains(list, m) {
+			n.Struck = append(n.Struck, m)
+		}
+	}
+	n.Struck = slices.DeleteFunc(n.Struck, func(m string) bool { return slices.Contains(list, m) })
 	return n
 }
 
--- a/share/bucket.go
+++ b/share/bucket.go
@@ -175,10 +175,10 @@
 }
 
 // Report returns the shares held and the demand of each team, for the holder.
-func (b *Buckets) Report(now time.Duration) (map[string]Held, uint64) {
+func (b *Buckets) Report(now time.Duration) (map[string]Holding, uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out := make(map[string]Held, len(b.teams))
+	out := make(map[string]Holding, len(b.teams))
 	for name, t := range b.teams {
 		if !t.kept && now-t.used > forgetTime {
 			delete(b.teams, name)
@@ -190,7 +190,7 @@
 			t.asked, t.since = 0, now
 		}
 		if t.kept || t.used > now-forgetTime {
-			out[name] = Held{Amount: t.share, Left: max(0, t.until-now), Demand: t.demand, Released: !t.kept}
+			out[name] = Holding{Amount: t.share, Left: max(0, t.until-now), Demand: t.demand, Released: !t.kept}
 		}
 	}
 	return out, b.seq
--- a/share/pool.go
+++ b/share/pool.go
@@ -33,7 +33,8 @@
 	zone   string
 	demand float64
 	heard  time.Duration // when it last reported, zero once it has given up its share
-	before float64       // held from an earlier holder, lapsed or not
+	before float64       // held from an earlier holder
+	lapsed float64       // the part of before that had lapsed when it was reported
 	grants []grant       // not superseded yet
 	first  estimate      // of its demand, until it has measured its own
 }
@@ -79,8 +80,25 @@
 	seq   uint64
 }
 
-// Held is a share that a VM reports.
-type Held struct {
+// Division says how a holder may divide an allowance.
+type Division uint8
+
+// The divisions.
+const (
+	// Whole divides all of it.
+	Whole Division = iota
+	// Known divides what those that have reported held, as grants of an earlier
+	// holder to others may be in use.
+	Known
+	// Held is the same for what they still hold: the earlier holder may have
+	// given to others what has lapsed.
+	Held
+	// Frozen leaves each VM what it has, as another holder may divide the rest.
+	Frozen
+)
+
+// Holding is a share that a VM reports.
+type Holding struct {
 	Amount float64       `cbor:"1,keyasint"`
 	Left   time.Duration `cbor:"2,keyasint"` // until it lapses; zero if it has
 	Demand float64       `cbor:"3,keyasint"` // operations a second asked for
@@ -94,13 +112,12 @@
 	Zone string // availability zone
 	Run  uint64 // of its process: what an earlier one held is not in use any more
 	Seq  uint64 // of the grants adopted last, zero for those of another holder
-	Held map[string]Held
+	Held map[string]Holding
 }
 
 // Renew takes a VM's report and returns its shares and their number. Live is how
-// many VMs share. While closed, grants of an earlier holder to VMs that have not
-// reported yet may be in use, and only what the others held is divided.
-func (p *Pool) Renew(r Report, live int, closed bool, now time.Duration) (map[string]float64, uint64) {
+// many VMs share.
+func (p *Pool) Renew(r Report, live int, div Division, now time.Duration) (map[string]float64, uint64) {
 	if p.teams == nil {
 		p.teams = make(map[string]*account)
 	}
@@ -123,7 +140,7 @@
 		}
 		own.demand, own.heard = h.Demand, now
 		own.grants = slices.DeleteFunc(own.grants, func(g grant) bool { return g.seq < r.Seq })
-		amount := a.amount(own, live, closed, now)
+		amount := a.amount(own, live, div, now)
 		own.grants = append(own.grants, grant{seq: p.seq, amount: amount, until: now + Life})
 		out[team] = amount
 	}
@@ -132,7 +149,7 @@
 
 // holding returns what is known of the VM that reports, with what it held from an
 // earlier holder if this is its first report.
-func (a *account) holding(r *Report, h Held, now time.Duration) *holding {
+func (a *account) holding(r *Report, h Holding, now time.Duration) *holding {
 	own := a.vms[r.VM]
 	if own != nil && own.run == r.Run {
 		return own
@@ -141,6 +158,9 @@
 		a.release(own, now) // by its end
 	}
 	own = &holding{run: r.Run, zone: r.Zone, before: h.Amount}
+	if h.Left <= 0 {
+		own.lapsed = h.Amount
+	}
 	if h.Left > 0 && h.Amount > 0 {
 		own.grants = []grant{{amount: h.Amount, until: now + h.Left}}
 	}
@@ -158,7 +178,7 @@
 }
 
 // amount decides the share of a VM.
-func (a *account) amount(own *holding, live int, closed bool, now time.Duration) float64 {
+func (a *account) amount(own *holding, live int, div Division, now time.Duration) float64 {
 	demand, others, before := 0.0, 0.0, 0.0
 	reporting := 0
 	for _, h := range a.vms {
@@ -170,6 +190,9 @@
 			reporting++
 		}
 		before += h.before
+		if div == Held {
+			before -= h.lapsed
+		}
 	}
 	for _, e := range a.left {
 		if now-e.at < newKeeper {
@@ -178,18 +201,21 @@
 		}
 	}
 	whole := 1.0
-	if closed {
+	if div == Known || div == Held {
 		// All that the earlier holder granted summed to one at most; what is not
 		// with the VMs that have reported may be with the others.
 		whole = min(1, before)
 	}
 	current := own.outstanding(now)
 	want := whole / float64(max(1, live))
-	if closed && current > 0 {
+	switch {
+	case div == Frozen:
+		return max(0, min(current, whole-others))
+	case div != Whole && current > 0:
 		// The demand of those that have reported first says nothing yet.
 		return max(0, min(max(current, want), whole-others))
 	}
-	if demand > 0 && !closed && reporting >= live {
+	if demand > 0 && div == Whole && reporting >= live {
 		// Before all have told their demand, the first ones would get it all.
 		want = whole * (even/float64(max(1, live)) + (1-even)*own.expected(now)/demand)
 	}
--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -41,6 +41,13 @@
 		{"lease", "NOPROOF"},
 		{"lease", "STALETOKEN"},
 		{"lease", "NOSETTLE"},
+		{"hold", ""},
+		{"hold", "ONEPROMISE"},
+		{"hold", "UNBOUND"},
+		{"hold", "NOHOLD"},
+		{"hold", "FORGET"},
+		{"hold", "MEMBERWAIT"},
+		{"hold", "ONELIST"},
 	}
 	for _, tc := range tests {
 		t.Run(tc.model+tc.mutant, func(t *testing.T) {
