--- a/reign/lease.go
+++ b/reign/lease.go
@@ -30,17 +30,14 @@
 	return true
 }
 
-// Learn takes a newer record without a lease on it. A lease by the same holder
-// goes on, for what the newer record allows.
+// Learn takes a newer record without a lease on it. The lease goes on for what the
+// newer record allows, also under the next holder: that one replaces a primary once
+// this VM has learned of it, or once leases of the holder before have run out.
 func (l *Lease) Learn(r Record) bool {
 	if r.Token < l.Record.Token || r.Token == l.Record.Token && r.Version <= l.Record.Version {
 		return false
 	}
-	until := l.Until
-	if r.Token != l.Record.Token {
-		until = 0
-	}
-	l.Record, l.Until = r, until
+	l.Record = r
 	return true
 }
 
--- a/reign/record.go
+++ b/reign/record.go
@@ -18,6 +18,7 @@
 package reign
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -97,10 +98,8 @@
 func (r *Record) next() Record {
 	n := *r
 	n.Version++
-	n.Groups = make(map[string]Group, len(r.Groups))
-	for k, g := range r.Groups {
-		n.Groups[k] = g
-	}
+	n.Groups = make(map[string]Group, len(r.Groups)+1)
+	maps.Copy(n.Groups, r.Groups)
 	n.Members, n.Struck = slices.Clone(r.Members), slices.Clone(r.Struck)
 	return n
 }
@@ -117,6 +116,13 @@
 	return n
 }
 
+// WithGroups returns the record with several groups' states replaced.
+func (r *Record) WithGroups(groups map[string]Group) Record {
+	n := r.next()
+	maps.Copy(n.Groups, groups)
+	return n
+}
+
 // Hand returns the record with vm named as the holder, for it to claim.
 func (r *Record) Hand(vm, addr string) Record {
 	n := r.next()
@@ -126,9 +132,7 @@
 
 // WithGroup returns the record with a group's state replaced.
 func (r *Record) WithGroup(name string, g Group) Record {
-	n := r.next()
-	n.Groups[name] = g
-	return n
+	return r.WithGroups(map[string]Group{name: g})
 }
 
 // WithMembers returns the record with other members. Those struck off before are
