roster, fleet: older news of targets are ignored; a fleet of 100 VMs and more

The record was written once for each group and sent to all VMs each time; every heartbeat's answer held the positions of all groups; records beyond a datagram reached nobody; each change of an entry summed up all entries again and made each VM fetch the whole list; homes were sorted anew for each group ten times a second.

Changes: package roster keeps the targets with the store's revision, and takes nothing older. New groups are written down up to 64 at a time. A VM asks for the positions of the groups that its reads use. A large record is fetched over a lane. Orders of homes are worked out once for each view; lists are fetched 150 ms apart.

--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -80,6 +80,7 @@
 	differs   time.Duration            // since when the holder knows other targets, zero if not
 	renewing  bool
 	fetching  bool // a configuration from another VM
+	recording bool // the record from the holder
 	listing   bool // targets from another VM
 }
 
@@ -222,7 +223,7 @@
 	p := &packet{
 		Kind: packetBeat, Token: r.Token, Stamp: now, Version: r.Version, Run: v.run, Power: v.Settings.CPU,
 		Reports: make(map[string]reign.Report), Positions: make(map[string]position),
-		Held: held, ViewSeen: v.view.Load().Version,
+		Held: held, ViewSeen: v.view.Load().Version, Wants: v.wants(now),
 	}
 	if v.shareToken() == r.Token {
 		p.ShareSeq = seq
@@ -301,7 +302,7 @@
 		}
 		b.write(p.From.IP, &packet{Kind: packetTell, Token: b.vm.lease.Load().Record.Token, Echo: p.Stamp, Age: age})
 	case packetNews:
-		b.compare(p.From, p.Config, p.Digest, now)
+		b.compare(p, now)
 	case packetAdmit:
 		b.vm.rates.asked(p, now)
 	case packetAdmitted:
@@ -361,6 +362,10 @@
 	if p.Record != nil {
 		r = p.Record.Record
 		v.learn(*p.Record, "holder")
+	} else if r.Token != p.Token || r.Version < p.Version {
+		if b.start(&b.recording) {
+			go b.fetchRecord(p.From)
+		}
 	}
 	if r.Token != p.Token || r.Version != p.Version {
 		return // it answers for a record that this VM does not have
@@ -391,5 +396,5 @@
 	for name, s := range p.Positions {
 		v.ring(name).Add(sample.Sample{Since: p.Echo + s.Since, Position: pollendoor.Position{Term: s.Term, Index: s.Index}})
 	}
-	b.compare(p.From, p.Config, p.Digest, now)
+	b.compare(p, now)
 }
--- a/fleet/cluster.go
+++ b/fleet/cluster.go
@@ -54,7 +54,7 @@
 	if !ok {
 		return pollendoor.Lead{}, pollendoor.LeadNone
 	}
-	t, known := v.targets.get(g.Primary)
+	t, known := v.targets.Get(g.Primary)
 	lead := pollendoor.Lead{Target: t, Epoch: g.Epoch}
 	switch {
 	case g.Moving:
@@ -73,6 +73,7 @@
 // PositionSince returns a position that the primary's log had reached at or
 // after a time, and the age of that knowledge.
 func (v *VM) PositionSince(group string, since time.Duration) (pollendoor.Position, time.Duration, bool) {
+	v.wantsPositions(group)
 	s, ok := v.ring(group).Oldest(since)
 	return s.Position, clock.Now() - s.Since, ok
 }
@@ -80,7 +81,7 @@
 // Replicas returns the targets of a group that take new work.
 func (v *VM) Replicas(group string) []pollendoor.ReadTarget {
 	now := clock.Now()
-	list := v.targets.group(group)
+	list := v.targets.Group(group)
 	out := make([]pollendoor.ReadTarget, 0, len(list))
 	for _, t := range list {
 		if t.Draining {
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -29,6 +29,9 @@
 	settleTime = time.Second
 	// maxMoves bounds the promotions at a time.
 	maxMoves = 8
+	// maxFound bounds the groups that are written down for the first time by one
+	// write.
+	maxFound = 64
 )
 
 // errLost says that another VM holds the duty.
@@ -255,8 +258,12 @@
 	}
 	d.mu.Unlock()
 	delete(ips, d.vm.Settings.IP)
+	p := packet{Kind: packetPoke, Token: r.Token}
+	if small(&r.Record) {
+		p.Record = &r
+	}
 	for ip := range ips {
-		d.vm.beat.write(ip, &packet{Kind: packetPoke, Token: r.Token, Record: &r})
+		d.vm.beat.write(ip, &p)
 	}
 }
 
@@ -316,9 +323,12 @@
 	}()
 }
 
-// membersMove marks a change of the members among the moves. No group has that
-// name.
-const membersMove = "/members"
+// membersMove and foundMove mark a change of the members, and the first look at
+// groups, among the moves. No group has such a name.
+const (
+	membersMove = "/members"
+	foundMove   = "/found"
+)
 
 // look starts what the groups need.
 func (d *duty) look(ctx context.Context, now time.Duration) {
@@ -328,23 +338,32 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	var unknown []string
 	for name := range c.Groups {
-		if d.moves[name] || len(d.moves) >= maxMoves {
-			continue
-		}
 		g, known := d.state.Record.Groups[name]
-		if !known {
-			d.start(name, func() { d.found(ctx, name) })
+		if !known && len(unknown) < maxFound {
+			unknown = append(unknown, name)
+		}
+		if !known || d.moves[name] || len(d.moves) >= maxMoves {
 			continue
 		}
 		if g.Moving {
 			d.start(name, func() { d.move(ctx, name, "taken over from an earlier holder") })
 			continue
 		}
-		if cause := d.state.Suspect(name, d.vm.targets.entry(g.Primary), now); cause != reign.CauseNone {
+		if cause := d.state.Suspect(name, d.vm.entry(g.Primary), now); cause != reign.CauseNone {
 			d.start(name, func() { d.replace(ctx, name, g, cause) })
 		}
 	}
+	if len(unknown) > 0 && !d.moves[foundMove] {
+		d.start(foundMove, func() { d.found(ctx, unknown) })
+	}
+}
+
+// entry returns what the platform's store says of a target.
+func (v *VM) entry(id string) reign.Entry {
+	t, missing := v.targets.Missing(id, time.Now())
+	return reign.Entry{Target: t, Missing: missing}
 }
 
 // start runs the work on one group. The caller holds mu.
@@ -365,7 +384,7 @@
 // others returns the targets of a group but for one.
 func (d *duty) others(group, except string) []pollendoor.TargetInfo {
 	var list []pollendoor.TargetInfo
-	for _, t := range d.vm.targets.group(group) {
+	for _, t := range d.vm.targets.Group(group) {
 		if t.ID != except {
 			list = append(list, t)
 		}
--- a/fleet/grant.go
+++ b/fleet/grant.go
@@ -111,9 +111,10 @@
 	a := &packet{
 		Kind: packetAnswer, Token: r.Token, Stamp: now, Echo: p.Stamp, Version: r.Version,
 		Lease: d.state.Lease(p.From.Name, now), Positions: make(map[string]position),
-		Sign: d.sign, Relay: p.Relay, To: p.From.IP, Want: now-d.state.Confirmed > wantAfter, Digest: v.targets.load().digest,
+		Sign: d.sign, Relay: p.Relay, To: p.From.IP, Want: now-d.state.Confirmed > wantAfter,
 	}
-	if version != r.Version {
+	a.Listed, a.Digest = v.targets.State()
+	if version != r.Version && small(&r) {
 		a.Record = &storedRecord{Record: r, Run: v.run}
 	}
 	if p.ViewSeen != d.view.Version {
@@ -128,7 +129,7 @@
 			v.ring(name).Add(sample.Sample{Since: p.Echo + s.Since, Position: pollendoor.Position{Term: s.Term, Index: s.Index}})
 		}
 	}
-	for name := range r.Groups {
+	for _, name := range p.Wants {
 		if s, ok := v.ring(name).Newest(); ok {
 			a.Positions[name] = position{Since: s.Since - now, Term: s.Position.Term, Index: s.Position.Index}
 		}
@@ -140,6 +141,22 @@
 	return a
 }
 
+// smallRecord is the number of groups and members up to which a record travels in a
+// datagram; a larger one is fetched over a lane.
+const smallRecord = 160
+
+func small(r *reign.Record) bool { return len(r.Groups)+len(r.Members) <= smallRecord }
+
+// record returns the record if this VM holds the duty.
+func (d *duty) record() *storedRecord {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.holding() {
+		return nil
+	}
+	return &storedRecord{Record: d.state.Record, Run: d.vm.run}
+}
+
 // shareToken returns the token of the holder whose shares are in use.
 func (v *VM) shareToken() uint64 {
 	v.leaseMu.Lock()
--- a/fleet/homes.go
+++ b/fleet/homes.go
@@ -44,7 +44,9 @@
 	mu      sync.Mutex
 	brokers map[string]*broker.Broker // by target
 	avoid   map[string]time.Duration  // VMs that were not reached, until when
-	delays  map[string]delayHint      // by target
+	orders  map[string][]peer         // by target's id and zone, for the view in ordered
+	ordered *view
+	delays  map[string]delayHint // by target
 }
 
 // delayHint is what a home told of its queue.
@@ -87,12 +89,27 @@
 	return out
 }
 
+// order returns the VMs through which a target is reached. It is worked out once
+// for each view of the VMs. The caller holds mu.
+func (h *homes) order(t pollendoor.TargetInfo) []peer {
+	if v := h.vm.view.Load(); v != h.ordered {
+		h.ordered, h.orders = v, make(map[string][]peer)
+	}
+	key := t.ID + "@" + t.Zone
+	list, ok := h.orders[key]
+	if !ok {
+		list = order(h.ordered, h.vm.self(), t)
+		h.orders[key] = list
+	}
+	return list
+}
+
 // choose returns the VMs to offer a statement to, without those avoided.
 func (h *homes) choose(t pollendoor.TargetInfo) []peer {
-	list := order(h.vm.view.Load(), h.vm.self(), t)
 	now := clock.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	list := h.order(t)
 	out := slices.DeleteFunc(slices.Clone(list), func(p peer) bool { return now < h.avoid[p.Name] })
 	if len(out) == 0 {
 		return []peer{h.vm.self()}
@@ -110,9 +127,9 @@
 	h.avoid[name] = clock.Now() + avoidTime
 }
 
-// isHome reports whether this VM is the home of a target.
+// isHome reports whether this VM is the home of a target. The caller holds mu.
 func (h *homes) isHome(t pollendoor.TargetInfo) bool {
-	list := order(h.vm.view.Load(), h.vm.self(), t)
+	list := h.order(t)
 	return len(list) > 0 && list[0].Name == h.vm.Settings.VM
 }
 
@@ -153,7 +170,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for id, b := range h.brokers {
-		t, ok := h.vm.targets.get(id)
+		t, ok := h.vm.targets.Get(id)
 		if !ok {
 			b.Close()
 			delete(h.brokers, id)
@@ -195,7 +212,7 @@
 			return
 		case <-tick.C:
 		}
-		gone := h.vm.targets.expire(time.Now(), h.vm.Platform.ReturnTime)
+		gone := h.vm.targets.Expire(time.Now(), h.vm.Platform.ReturnTime)
 		for _, id := range gone {
 			h.vm.Log.Info().Str("target", id).Msg("target is gone")
 		}
@@ -204,8 +221,14 @@
 		}
 		now := clock.Now()
 		for name, g := range h.vm.lease.Load().Record.Groups {
-			t, ok := h.vm.targets.get(g.Primary)
-			if !ok || g.Moving || !h.isHome(t) || now-h.vm.fate(name).contact() < probeAfter {
+			t, ok := h.vm.targets.Get(g.Primary)
+			if !ok || g.Moving || now-h.vm.fate(name).contact() < probeAfter {
+				continue
+			}
+			h.mu.Lock()
+			home := h.isHome(t)
+			h.mu.Unlock()
+			if !home {
 				continue
 			}
 			if _, busy := probing.LoadOrStore(name, true); busy {
--- a/fleet/lanes.go
+++ b/fleet/lanes.go
@@ -33,11 +33,12 @@
 )
 
 // call is one request on a lane: work, the end of a turn, or a question for the
-// configuration or the targets.
+// configuration, the targets or the record.
 type call struct {
 	Work    *pollendoor.Work `cbor:"1,keyasint,omitempty"`
 	Config  bool             `cbor:"2,keyasint,omitempty"`
 	Targets bool             `cbor:"3,keyasint,omitempty"`
+	Record  bool             `cbor:"4,keyasint,omitempty"`
 }
 
 // result is the answer to a call.
@@ -45,6 +46,8 @@
 	Reply   *pollendoor.Reply       `cbor:"1,keyasint,omitempty"`
 	Config  []byte                  `cbor:"2,keyasint,omitempty"`
 	Targets []pollendoor.TargetInfo `cbor:"3,keyasint,omitempty"`
+	Record  *storedRecord           `cbor:"4,keyasint,omitempty"` // of a holder
+	Listed  uint64                  `cbor:"5,keyasint,omitempty"` // revision of the targets
 }
 
 // lanes are the TCP connections between VMs. Each carries one turn at a time.
@@ -221,7 +224,9 @@
 				out.Config = v.raw
 			}
 		case in.Targets:
-			out.Targets = s.vm.targets.listed()
+			out.Targets, out.Listed = s.vm.targets.Listed()
+		case in.Record:
+			out.Record = s.vm.duty.record()
 		default:
 			s.finish(&current)
 			continue
@@ -235,7 +240,7 @@
 
 func (s *lanes) work(current *pollendoor.Turn, w *pollendoor.Work) pollendoor.Reply {
 	if *current == nil {
-		t, ok := s.vm.targets.get(w.Target)
+		t, ok := s.vm.targets.Get(w.Target)
 		if !ok || t.Group != w.Group {
 			return pollendoor.Reply{Code: pollendoor.ErrMisrouted, Text: "the home does not know the target", State: 'I'}
 		}
--- a/fleet/move.go
+++ b/fleet/move.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc/iter"
 
 	"github.com/pollendoor/pollendoor"
 	"github.com/pollendoor/pollendoor/clock"
@@ -102,24 +103,32 @@
 	return out
 }
 
-// found writes a group down for the first time, under the primary that leads it.
-func (d *duty) found(ctx context.Context, name string) {
+// found writes groups down for the first time, each under the primary that leads it.
+func (d *duty) found(ctx context.Context, names []string) {
 	v := d.vm
-	var best *reign.Candidate
-	for _, c := range v.statuses(ctx, v.targets.group(name)) {
-		if c.Status.Role == pollendoor.Primary && (best == nil || c.Status.Term > best.Status.Term) {
-			best = &c
+	leaders := iter.Mapper[string, *reign.Candidate]{MaxGoroutines: maxFound}.Map(names, func(name *string) *reign.Candidate {
+		var best *reign.Candidate
+		for _, c := range v.statuses(ctx, v.targets.Group(*name)) {
+			if c.Status.Role == pollendoor.Primary && (best == nil || c.Status.Term > best.Status.Term) {
+				best = &c
+			}
+		}
+		return best
+	})
+	groups := make(map[string]reign.Group, len(names))
+	for i, best := range leaders {
+		if best != nil {
+			groups[names[i]] = reign.Group{}.Settle(best.Target.ID, best.Status.Term)
 		}
 	}
-	if best == nil {
-		pollendoor.Pause(ctx, foundPause)
-		return
+	if len(groups) > 0 {
+		err := d.write(ctx, func(r reign.Record) reign.Record { return r.WithGroups(groups) })
+		if err != nil {
+			v.Log.Warn().Err(err).Int("groups", len(groups)).Msg("groups not recorded")
+		}
 	}
-	err := d.write(ctx, func(r reign.Record) reign.Record {
-		return r.WithGroup(name, reign.Group{}.Settle(best.Target.ID, best.Status.Term))
-	})
-	if err != nil {
-		v.Log.Warn().Err(err).Str("group", name).Msg("group not recorded")
+	if len(groups) < len(names) {
+		pollendoor.Pause(ctx, foundPause)
 	}
 }
 
@@ -182,7 +191,7 @@
 		v.Log.Info().Str("group", name).Str("cause", cause).Str("from", g.Primary).Str("to", c.Target.ID).
 			Uint64("term", uint64(term)).Uint64("index", c.Status.Index).Bool("promoted", promote).
 			Dur("dropping", dropped-start).Dur("whole", clock.Now()-start).Msg("primary replaced")
-		if old, ok := v.targets.get(g.Primary); ok && promote && !old.Draining {
+		if old, ok := v.targets.Get(g.Primary); ok && promote && !old.Draining {
 			_, err := v.control(ctx, old, func(c pollendoor.TargetConn, deadline time.Time) (pollendoor.TargetStatus, error) {
 				return c.StepDown(term, deadline)
 			})
@@ -221,7 +230,7 @@
 	v := d.vm
 	until := clock.Now() + catchUpTime
 	for {
-		list := v.statuses(ctx, v.targets.group(name))
+		list := v.statuses(ctx, v.targets.Group(name))
 		next, promote, ok := reign.Next(g, list)
 		if !ok {
 			return nil, false
--- a/fleet/news.go
+++ b/fleet/news.go
@@ -6,15 +6,19 @@
 	"github.com/pollendoor/pollendoor/clock"
 )
 
+// listPause is the least time between two lists of the targets that a VM fetches
+// from another one: entries often change together.
+const listPause = 150 * time.Millisecond
+
 // compare catches up with another VM that knows a newer configuration or other
 // targets. A VM that watches the store gives its watch some time first.
-func (b *beat) compare(from peer, config, digest uint64, now time.Duration) {
-	v := b.vm
+func (b *beat) compare(p *packet, now time.Duration) {
+	v, from := b.vm, p.From
 	c := v.config.Load()
-	if config > 0 && (c == nil || c.Version < config) && b.start(&b.fetching) {
-		go b.catchUpConfig(from, config)
+	if p.Config > 0 && (c == nil || c.Version < p.Config) && b.start(&b.fetching) {
+		go b.catchUpConfig(from, p.Config)
 	}
-	if digest == 0 || digest == v.targets.load().digest {
+	if revision, digest := v.targets.State(); p.Digest == 0 || p.Digest == digest || p.Listed < revision {
 		b.mu.Lock()
 		b.differs = 0
 		b.mu.Unlock()
@@ -29,7 +33,7 @@
 	if late && v.watches() {
 		v.entries.nudge()
 	} else if (late || !v.watches()) && b.start(&b.listing) {
-		go b.catchUpTargets(from)
+		go b.catchUpTargets(from, p.Digest)
 	}
 }
 
@@ -78,21 +82,29 @@
 	}
 }
 
-// catchUpTargets takes the targets over from another VM.
-func (b *beat) catchUpTargets(from peer) {
-	defer b.done(&b.listing)
+// catchUpTargets takes the targets with a digest over from another VM.
+func (b *beat) catchUpTargets(from peer, digest uint64) {
+	defer func() {
+		time.Sleep(listPause)
+		b.done(&b.listing)
+	}()
 	list := b.sources(from)
 	b.mu.Lock()
 	if b.differs > 0 && clock.Now()-b.differs > differPatience {
 		list = []peer{from} // the watcher does not know them either
 	}
 	b.mu.Unlock()
-	r, err := b.vm.lanes.ask(list[0], call{Targets: true})
-	if err != nil || len(r.Targets) == 0 {
-		b.vm.Log.Warn().Err(err).Str("peer", list[0].Name).Msg("targets not fetched from another VM")
-		return
+	for _, p := range list {
+		r, err := b.vm.lanes.ask(p, call{Targets: true})
+		if err != nil || len(r.Targets) == 0 {
+			b.vm.Log.Warn().Err(err).Str("peer", p.Name).Msg("targets not fetched from another VM")
+			continue
+		}
+		b.vm.takeTargets(r.Targets, r.Listed, p.Name)
+		if _, known := b.vm.targets.State(); known == digest {
+			return
+		}
 	}
-	b.vm.takeTargets(r.Targets)
 }
 
 // news tells the VMs of the zone that its watcher has learned something.
@@ -101,7 +113,8 @@
 	if b.conn == nil || !v.watches() {
 		return
 	}
-	p := &packet{Kind: packetNews, Digest: v.targets.load().digest}
+	p := &packet{Kind: packetNews}
+	p.Listed, p.Digest = v.targets.State()
 	if c := v.config.Load(); c != nil {
 		p.Config = c.Version
 	}
@@ -111,3 +124,14 @@
 		}
 	}
 }
+
+// fetchRecord takes a record over from the holder that is too large for a datagram.
+func (b *beat) fetchRecord(from peer) {
+	defer b.done(&b.recording)
+	r, err := b.vm.lanes.ask(from, call{Record: true})
+	if err != nil || r.Record == nil {
+		b.vm.Log.Warn().Err(err).Str("peer", from.Name).Msg("record not fetched from the holder")
+		return
+	}
+	b.vm.learn(*r.Record, "holder") // which sends a heartbeat, for the lease on it
+}
--- a/fleet/packet.go
+++ b/fleet/packet.go
@@ -14,7 +14,7 @@
 const (
 	packetBeat     packetKind = iota + 1 // a VM to the duty holder
 	packetAnswer                         // its answer
-	packetPoke                           // the holder tells its record and asks for a heartbeat now
+	packetPoke                           // the holder has a new record and asks for a heartbeat now
 	packetAsk                            // a VM asks another whether it hears the holder
 	packetTell                           // its answer
 	packetNews                           // a zone's watcher has learned something
@@ -47,15 +47,17 @@
 	ShareSeq uint64                   `cbor:"10,keyasint,omitempty"`
 	ViewSeen uint64                   `cbor:"11,keyasint,omitempty"`
 	Power    float64                  `cbor:"25,keyasint,omitempty"` // share of a core
+	Wants    []string                 `cbor:"31,keyasint,omitempty"` // groups whose positions its reads need
 	Bound    time.Duration            `cbor:"29,keyasint,omitempty"` // left of a promise that may have been given
 	Run      uint64                   `cbor:"21,keyasint,omitempty"` // identifies the process
 
 	// Of an answer.
 	Lease  time.Duration      `cbor:"12,keyasint,omitempty"`
-	Record *storedRecord      `cbor:"13,keyasint,omitempty"` // if Version is not the newest
+	Record *storedRecord      `cbor:"13,keyasint,omitempty"` // if Version is not the newest, and it is small, and it is small
 	View   *view              `cbor:"14,keyasint,omitempty"` // if ViewSeen is not the newest
 	Shares map[string]float64 `cbor:"15,keyasint,omitempty"`
-	Digest uint64             `cbor:"20,keyasint,omitempty"` // of the holder's targets
+	Digest uint64             `cbor:"20,keyasint,omitempty"` // of the sender\'s targets
+	Listed uint64             `cbor:"32,keyasint,omitempty"` // revision up to which it knows them
 	Sign   uint64             `cbor:"30,keyasint,omitempty"` // the holder's last one at the store
 	Want   bool               `cbor:"19,keyasint,omitempty"` // the holder needs promises: it does not reach the store
 
--- a/fleet/stats.go
+++ b/fleet/stats.go
@@ -71,7 +71,7 @@
 		{"retries_total", s.Retries.Load()},
 		{"lease_left_ms", (v.lease.Load().Until - clock.Now()).Milliseconds()},
 		{"live_vms", int64(len(v.view.Load().Peers))},
-		{"targets", int64(v.targets.len())},
+		{"targets", int64(v.targets.Len())},
 	} {
 		if _, err := fmt.Fprintf(w, "pollendoor_%s %d\n", c.name, c.value); err != nil {
 			return err
--- a/fleet/vm.go
+++ b/fleet/vm.go
@@ -1,7 +1,7 @@
 // Package fleet is a VM of the system on the platform: it watches configuration
 // and targets, exchanges heartbeats with the VM that holds the duty, holds that
 // duty itself when it comes to it, and gives callers' statements a way to
-// targets. The decisions are in reign, caller, broker, share and sample.
+// targets. The decisions are in reign, caller, broker, roster, share and sample.
 package fleet
 
 import (
@@ -20,6 +20,7 @@
 	"github.com/pollendoor/pollendoor"
 	"github.com/pollendoor/pollendoor/clock"
 	"github.com/pollendoor/pollendoor/reign"
+	"github.com/pollendoor/pollendoor/roster"
 	"github.com/pollendoor/pollendoor/sample"
 	"github.com/pollendoor/pollendoor/share"
 )
@@ -53,7 +54,7 @@
 	run       uint64 // identifies this process
 	stats     Stats
 	config    atomic.Pointer[configVersion]
-	targets   targets
+	targets   roster.Roster
 	entries   follower // of the targets' entries
 	configs   follower // of the configuration
 	buckets   share.Buckets
@@ -72,8 +73,11 @@
 
 	view  atomic.Pointer[view]
 	rings sync.Map // *sample.Ring by group
-	fates sync.Map // *fate by group
-	lags  sync.Map // lag by target id
+	used  sync.Map // when a read last asked for a group's positions, by group
+
+	wanted int      // of the groups in used, the one that was asked for last; of the sender of heartbeats
+	fates  sync.Map // *fate by group
+	lags   sync.Map // lag by target id
 
 	failMu  sync.Mutex
 	failing map[string]failures // by target, for those that fail
@@ -155,7 +159,7 @@
 
 // Ready reports whether the VM can serve callers.
 func (v *VM) Ready() bool {
-	if v.leaving.Load() || v.config.Load() == nil || v.targets.len() == 0 {
+	if v.leaving.Load() || v.config.Load() == nil || v.targets.Len() == 0 {
 		return false
 	}
 	l := v.lease.Load()
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -13,6 +13,7 @@
 	"github.com/pollendoor/pollendoor"
 	"github.com/pollendoor/pollendoor/clock"
 	"github.com/pollendoor/pollendoor/reign"
+	"github.com/pollendoor/pollendoor/roster"
 )
 
 const (
@@ -33,8 +34,8 @@
 // follower keeps a copy of one kind of object.
 type follower struct {
 	kind   string
-	list   func([]pollendoor.Object) // gets the whole
-	change func(pollendoor.Object)   // gets each later change
+	list   func(all []pollendoor.Object, revision uint64)     // gets the whole
+	change func(changed []pollendoor.Object, revision uint64) // gets what has changed since, up to a revision
 
 	mu    sync.Mutex
 	stale context.CancelFunc // ends the waiting watch
@@ -73,13 +74,13 @@
 				v.Log.Info().Str("kind", f.kind).Uint64("revision", revision).Msg("store regained")
 			}
 			lost, listed = false, true
-			f.list(all)
+			f.list(all, revision)
 		}
 		for err == nil && ctx.Err() == nil && v.watches() {
 			var events []pollendoor.Object
 			events, revision, err = f.watch(ctx, v.Platform.Store, revision)
-			for _, o := range events {
-				f.change(o)
+			if err == nil {
+				f.change(events, revision)
 			}
 		}
 		switch {
@@ -130,13 +131,15 @@
 	v.follow(ctx, &v.configs)
 }
 
-// configFollower returns the follower of the configuration.
+// configFollower returns the follower of the configuration, which has a version of
+// its own.
 func (v *VM) configFollower() follower {
-	return follower{kind: v.Platform.ConfigKind, change: v.configObject, list: func(all []pollendoor.Object) {
-		for _, o := range all {
+	take := func(list []pollendoor.Object, _ uint64) {
+		for _, o := range list {
 			v.configObject(o)
 		}
-	}}
+	}
+	return follower{kind: v.Platform.ConfigKind, change: take, list: take}
 }
 
 // readConfig asks the store for the configuration. A watch may miss a change for
@@ -202,80 +205,73 @@
 
 // targetsFollower returns the follower of the targets' entries.
 func (v *VM) targetsFollower() follower {
-	return follower{kind: v.Platform.TargetsKind, list: v.listTargets, change: v.changeTarget}
+	return follower{kind: v.Platform.TargetsKind, list: v.listTargets, change: v.changeTargets}
 }
 
 // readTargets asks the store for all entries, as readConfig does.
 func (v *VM) readTargets(ctx context.Context) {
-	all, _, err := v.Platform.Store.List(ctx, v.Platform.TargetsKind)
+	all, revision, err := v.Platform.Store.List(ctx, v.Platform.TargetsKind)
 	if err != nil {
 		v.stats.StoreErrors.Add(1)
 		v.Log.Debug().Err(err).Msg("targets not read")
 		return
 	}
-	v.listTargets(all)
+	v.listTargets(all, revision)
 }
 
-func (v *VM) listTargets(all []pollendoor.Object) {
+func (v *VM) listTargets(all []pollendoor.Object, revision uint64) {
 	list := make([]pollendoor.TargetInfo, 0, len(all))
 	for _, o := range all {
 		if t, ok := v.decodeTarget(o); ok {
 			list = append(list, t)
 		}
 	}
-	v.takeTargets(list)
-}
-
-// takeTargets follows a whole list of targets.
-func (v *VM) takeTargets(list []pollendoor.TargetInfo) {
-	v.targets.update(func(byID map[string]pollendoor.TargetInfo, gone map[string]time.Time) {
-		listed := make(map[string]bool, len(list))
-		for _, t := range list {
-			listed[t.ID] = true
-			v.logTarget(byID[t.ID], t)
-			byID[t.ID] = t
-			delete(gone, t.ID)
-		}
-		for id := range byID {
-			if _, ok := gone[id]; !listed[id] && !ok {
-				gone[id] = time.Now()
-				v.Log.Info().Str("target", id).Msg("target's entry is missing")
-			}
-		}
-	})
-	v.targetsChanged()
+	v.takeTargets(list, revision, "store")
 }
 
-func (v *VM) targetsChanged() {
-	v.homes.refresh()
-	v.beat.news()
+// takeTargets follows a whole list of targets, unless it is older than what this VM
+// knows.
+func (v *VM) takeTargets(list []pollendoor.TargetInfo, revision uint64, source string) {
+	changes, ok := v.targets.List(list, revision, time.Now())
+	if !ok {
+		v.Log.Info().Uint64("revision", revision).Str("source", source).Msg("older list of targets ignored")
+		return
+	}
+	v.targetsChanged(changes)
 }
 
-func (v *VM) changeTarget(o pollendoor.Object) {
-	v.targets.update(func(byID map[string]pollendoor.TargetInfo, gone map[string]time.Time) {
-		id := o.Name[len(v.Platform.TargetsKind):]
+// changeTargets takes the changes up to a revision.
+func (v *VM) changeTargets(changed []pollendoor.Object, revision uint64) {
+	if known, _ := v.targets.State(); revision <= known {
+		return // a list has brought them
+	}
+	var changes []roster.Change
+	for _, o := range changed {
 		if o.Version == 0 {
-			if _, ok := byID[id]; ok {
-				gone[id] = time.Now()
-				v.Log.Info().Str("target", id).Msg("target's entry removed")
-			}
-			return
-		}
-		if t, ok := v.decodeTarget(o); ok {
-			v.logTarget(byID[id], t)
-			byID[id] = t
-			delete(gone, id)
+			changes = append(changes, v.targets.Remove(o.Name[len(v.Platform.TargetsKind):], time.Now())...)
+		} else if t, ok := v.decodeTarget(o); ok {
+			c, _ := v.targets.Set(t, o.Version, time.Now())
+			changes = append(changes, c...)
 		}
-	})
-	v.targetsChanged()
+	}
+	v.targets.Reach(revision)
+	v.targetsChanged(changes)
 }
 
-func (v *VM) logTarget(old, t pollendoor.TargetInfo) {
-	if old == t {
-		return
+// targetsChanged logs what has changed and follows it.
+func (v *VM) targetsChanged(changes []roster.Change) {
+	for _, c := range changes {
+		if t := c.After; t.ID != "" {
+			v.Log.Info().Str("target", t.ID).Str("group", t.Group).Str("addr", t.Addr).Str("zone", t.Zone).
+				Bool("draining", t.Draining).Bool("primary", t.Primary).Int64("born", t.Born).Msg("target's entry changed")
+		} else {
+			v.Log.Info().Str("target", c.Before.ID).Msg("target's entry is missing")
+		}
+	}
+	if len(changes) > 0 {
+		v.homes.refresh()
+		v.beat.news()
 	}
-	v.Log.Info().Str("target", t.ID).Str("group", t.Group).Str("addr", t.Addr).Str("zone", t.Zone).
-		Bool("draining", t.Draining).Bool("primary", t.Primary).Int64("born", t.Born).Msg("target's entry changed")
 }
 
 func (v *VM) decodeTarget(o pollendoor.Object) (pollendoor.TargetInfo, bool) {
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,231 @@
+// Package roster keeps the targets that the platform's store lists. What is learned
+// comes with the store's revision of that moment, so that older news, which another
+// VM may tell after a cut, never takes the place of newer ones.
+package roster
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pollendoor/pollendoor"
+)
+
+// Roster is the known targets. Readers see an immutable snapshot. The zero value is
+// empty and ready for use.
+type Roster struct {
+	snap atomic.Pointer[snapshot]
+
+	mu    sync.Mutex
+	first time.Time            // when the entries were first listed
+	gone  map[string]time.Time // entries that have vanished, and when
+}
+
+// snapshot is the targets at one revision.
+type snapshot struct {
+	byID     map[string]pollendoor.TargetInfo
+	byGroup  map[string][]pollendoor.TargetInfo
+	sums     map[string]uint64 // of each entry
+	digest   uint64            // of the entries that are listed
+	revision uint64            // of the store
+}
+
+// Change is what became of one target's entry.
+type Change struct {
+	Before pollendoor.TargetInfo // zero for a new one
+	After  pollendoor.TargetInfo // zero for one that has vanished
+}
+
+func (r *Roster) load() *snapshot {
+	if s := r.snap.Load(); s != nil {
+		return s
+	}
+	return &snapshot{}
+}
+
+// Len returns the number of targets.
+func (r *Roster) Len() int { return len(r.load().byID) }
+
+// Get returns a target by its id.
+func (r *Roster) Get(id string) (pollendoor.TargetInfo, bool) {
+	t, ok := r.load().byID[id]
+	return t, ok
+}
+
+// Group returns the targets of a group by id.
+func (r *Roster) Group(name string) []pollendoor.TargetInfo { return r.load().byGroup[name] }
+
+// State returns the store's revision up to which the roster is known, and a digest
+// of the entries that are listed there.
+func (r *Roster) State() (revision, digest uint64) {
+	s := r.load()
+	return s.revision, s.digest
+}
+
+// Missing returns a target, and how long its entry has been missing: zero if it is
+// there, or if no entries have been listed yet.
+func (r *Roster) Missing(id string, now time.Time) (pollendoor.TargetInfo, time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t, ok := r.Get(id)
+	since, missing := r.gone[id]
+	if !ok {
+		since, missing = r.first, !r.first.IsZero()
+	}
+	if !missing {
+		return t, 0
+	}
+	return t, max(1, now.Sub(since))
+}
+
+// Listed returns the targets whose entries are there, with the revision.
+func (r *Roster) Listed() ([]pollendoor.TargetInfo, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []pollendoor.TargetInfo
+	s := r.load()
+	for id, t := range s.byID {
+		if _, ok := r.gone[id]; !ok {
+			list = append(list, t)
+		}
+	}
+	return list, s.revision
+}
+
+// List takes the whole list of a revision, and returns what it changes. It reports
+// false for a list that is older than what is known.
+func (r *Roster) List(list []pollendoor.TargetInfo, revision uint64, now time.Time) ([]Change, bool) {
+	var changes []Change
+	ok := r.update(revision, now, func(s *snapshot) {
+		listed := make(map[string]bool, len(list))
+		for _, t := range list {
+			listed[t.ID] = true
+			if before := s.byID[t.ID]; before != t {
+				changes = append(changes, Change{Before: before, After: t})
+			}
+			s.byID[t.ID] = t
+			delete(r.gone, t.ID)
+		}
+		for id, t := range s.byID {
+			if _, gone := r.gone[id]; !listed[id] && !gone {
+				r.gone[id] = now
+				changes = append(changes, Change{Before: t})
+			}
+		}
+	})
+	return changes, ok
+}
+
+// Set takes one entry that changed at a revision.
+func (r *Roster) Set(t pollendoor.TargetInfo, revision uint64, now time.Time) ([]Change, bool) {
+	var changes []Change
+	ok := r.update(revision, now, func(s *snapshot) {
+		if before := s.byID[t.ID]; before != t {
+			changes = append(changes, Change{Before: before, After: t})
+		}
+		s.byID[t.ID] = t
+		delete(r.gone, t.ID)
+	})
+	return changes, ok
+}
+
+// Remove takes the removal of an entry, by an event behind the known revision.
+func (r *Roster) Remove(id string, now time.Time) []Change {
+	var changes []Change
+	r.update(r.load().revision, now, func(s *snapshot) {
+		t, known := s.byID[id]
+		if _, gone := r.gone[id]; known && !gone {
+			r.gone[id] = now
+			changes = append(changes, Change{Before: t})
+		}
+	})
+	return changes
+}
+
+// Reach notes that all changes up to a revision are known.
+func (r *Roster) Reach(revision uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.load(); s.revision < revision {
+		n := *s
+		n.revision = revision
+		r.snap.Store(&n)
+	}
+}
+
+// Expire drops the targets whose entries have been gone for longer than after, and
+// returns their ids.
+func (r *Roster) Expire(now time.Time, after time.Duration) []string {
+	r.mu.Lock()
+	var list []string
+	for id, at := range r.gone {
+		if now.Sub(at) > after {
+			list = append(list, id)
+		}
+	}
+	r.mu.Unlock()
+	if len(list) > 0 {
+		r.update(r.load().revision, now, func(s *snapshot) {
+			for _, id := range list {
+				if at, gone := r.gone[id]; gone && now.Sub(at) > after {
+					delete(s.byID, id)
+					delete(r.gone, id)
+				}
+			}
+		})
+	}
+	return list
+}
+
+// update changes the targets, unless the revision is older than what is known.
+func (r *Roster) update(revision uint64, now time.Time, change func(*snapshot)) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.load()
+	if revision < old.revision {
+		return false
+	}
+	next := &snapshot{
+		byID:    make(map[string]pollendoor.TargetInfo, len(old.byID)),
+		byGroup: make(map[string][]pollendoor.TargetInfo), sums: make(map[string]uint64, len(old.byID)),
+		revision: revision,
+	}
+	maps.Copy(next.byID, old.byID)
+	if r.first.IsZero() {
+		r.first = now
+	}
+	if r.gone == nil {
+		r.gone = make(map[string]time.Time)
+	}
+	change(next)
+	for _, t := range next.byID {
+		next.byGroup[t.Group] = append(next.byGroup[t.Group], t)
+	}
+	for _, list := range next.byGroup {
+		slices.SortFunc(list, func(a, b pollendoor.TargetInfo) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	next.sum(old, r.gone)
+	r.snap.Store(next)
+	return true
+}
+
+// sum sums up the entries that are listed, so that VMs can compare theirs. An entry
+// that is as it was in the snapshot before is not summed up again.
+func (s *snapshot) sum(before *snapshot, gone map[string]time.Time) {
+	for id, t := range s.byID {
+		sum, ok := before.sums[id]
+		if !ok || before.byID[id] != t {
+			sum = xxhash.Sum64String(fmt.Sprint(t))
+		}
+		s.sums[id] = sum
+		if _, gone := gone[id]; !gone {
+			s.digest += sum
+		}
+	}
+}
