soak: processes of the VM's program harmed at random on loopback

Callers keep their connections until the process is gone. Checked while it runs: no write twice, no promise that is not kept, no acknowledged write gone and no stale read without a promotion, fencing tokens that never fall, no misuse seen by targets, all callers served within 12 s of the last fault. Left out: clocks (no rights to change them), storage of VMs (they have none), rates, links between VMs.

The stand-in's replica that was dark catches up when it is back, as the platform's do.

--- a/cmd/pollendoor/main.go
+++ b/cmd/pollendoor/main.go
@@ -25,6 +25,7 @@
 	Load     loadCmd     `cmd:"" help:"Send load to an address and check the answers."`
 	Replay   replayCmd   `cmd:"" help:"Replay a recorded trace against its stated outcomes."`
 	Bench    benchCmd    `cmd:"" help:"Run an experiment on stand-ins."`
+	Soak     soakCmd     `cmd:"" help:"Run VM processes on loopback, harm them at random and check the promises."`
 }
 
 // errUsage marks errors of the caller's making, which exit with status 2.
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,41 @@
+package soak_test
+
+import (
+	"fmt"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/pollendoor/pollendoor/soak"
+)
+
+// TestSoak runs seeds for some seconds each. A seed that ever failed is listed here
+// with a line on its cause.
+func TestSoak(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "pollenvm")
+	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/pollenvm").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	for _, tc := range []struct {
+		seed  uint64
+		cause string
+	}{
+		{1, "none, the short run of CI"},
+	} {
+		t.Run(fmt.Sprint(tc.seed), func(t *testing.T) {
+			r := soak.Run{Seed: tc.seed, Duration: 6 * time.Second, Binary: binary, Dir: t.TempDir()}
+			rep, err := r.Do(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, b := range rep.Broken {
+				t.Error(b)
+			}
+			if t.Failed() {
+				t.Logf("faults: %q", rep.Faults)
+			}
+			t.Logf("statements %v, promotions %d, rolled back %d", rep.Statements, rep.Promotions, rep.RolledBack)
+		})
+	}
+}
