fleet, soak: work that the other VM has given up is not run any more

Trace: the home of the primary was paused for 3.3 s; its callers had got INDOUBT or TIMEOUT and gone on through another home; resumed, it ran what lay in its sockets, and the old write came after the new.

Ruled out: rows of another statement (signatures and rows were checked: right), a promotion (none in the seconds before), lost log entries.

Change: the home looks whether the lane is still open before it begins a turn for another VM.

--- a/fleet/lanes.go
+++ b/fleet/lanes.go
@@ -216,6 +216,10 @@
 		}
 		var out result
 		switch {
+		case in.Work != nil && current == nil && !dial.Alive(c):
+			// The other VM has given it up: this one was frozen, most likely.
+			s.vm.Log.Info().Str("id", in.Work.ID).Str("target", in.Work.Target).Msg("work given up by the other VM not run")
+			return
 		case in.Work != nil:
 			r := s.work(&current, in.Work)
 			out.Reply = &r
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,6 +22,8 @@
 		cause string
 	}{
 		{1, "none, the short run of CI"},
+		{115, "as 120"},
+		{120, "a paused home ran writes that their callers had given up 3 s before; reads showed them"},
 	} {
 		t.Run(fmt.Sprint(tc.seed), func(t *testing.T) {
 			r := soak.Run{Seed: tc.seed, Duration: 6 * time.Second, Binary: binary, Dir: t.TempDir()}
