--- a/fleet/packet.go
+++ b/fleet/packet.go
@@ -53,10 +53,10 @@
 
 	// Of an answer.
 	Lease  time.Duration      `cbor:"12,keyasint,omitempty"`
-	Record *storedRecord      `cbor:"13,keyasint,omitempty"` // if Version is not the newest, and it is small, and it is small
+	Record *storedRecord      `cbor:"13,keyasint,omitempty"` // if Version is not the newest, and it is small
 	View   *view              `cbor:"14,keyasint,omitempty"` // if ViewSeen is not the newest
 	Shares map[string]float64 `cbor:"15,keyasint,omitempty"`
-	Digest uint64             `cbor:"20,keyasint,omitempty"` // of the sender\'s targets
+	Digest uint64             `cbor:"20,keyasint,omitempty"` // of the sender's targets
 	Listed uint64             `cbor:"32,keyasint,omitempty"` // revision up to which it knows them
 	Sign   uint64             `cbor:"30,keyasint,omitempty"` // the holder's last one at the store
 	Want   bool               `cbor:"19,keyasint,omitempty"` // the holder needs promises: it does not reach the store
