--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -20,6 +20,11 @@
 	// confirmPeriod is how often it proves to itself that it still is the holder:
 	// well within a lease, so that there is time left for promises when it fails.
 	confirmPeriod = 600 * time.Millisecond
+	// signPeriod is how often the holder grows its sign in the record. It is no
+	// proof: answers to writes may be lost for long, those to reads come.
+	signPeriod = 700 * time.Millisecond
+	// signTime bounds the write of a sign, for which other writes wait.
+	signTime = 300 * time.Millisecond
 	// wantAfter is how long without such a proof it asks for promises.
 	wantAfter = 950 * time.Millisecond
 	// memberPeriod is the least time between two changes of the members, so that
@@ -44,8 +49,9 @@
 	mu      sync.Mutex
 	held    bool
 	state   reign.Duty
-	object  uint64 // version of the record's object in the store
-	sign    uint64 // number of the last sign that was written
+	object  uint64        // version of the record's object in the store
+	signs   uint64        // number of the last sign that was written
+	signed  time.Duration // when it was sent
 	peers   map[string]peer
 	view    view
 	pool    share.Pool
@@ -94,7 +100,7 @@
 	d.mu.Lock()
 	d.held, d.object = true, object
 	d.state = reign.Claim(v.Settings.VM, r.Record, next.Record, start, now)
-	d.sign = next.Sign
+	d.signs = next.Sign
 	d.peers = map[string]peer{v.Settings.VM: v.self()}
 	d.view = view{Version: next.Token<<32 | 1, Peers: v.view.Load().Peers}
 	d.pool = share.Pool{}
@@ -139,7 +145,7 @@
 			d.mu.Unlock()
 			return errLost
 		}
-		next := storedRecord{Record: change(old), Run: d.vm.run, Sign: d.sign + 1}
+		next := storedRecord{Record: change(old), Run: d.vm.run, Sign: d.signs + 1}
 		next.Settled = d.state.Clear(clock.Now())
 		d.state.Propose(next.Members)
 		d.mu.Unlock()
@@ -170,7 +176,7 @@
 
 func (d *duty) written(object uint64, r storedRecord, start time.Duration) {
 	d.mu.Lock()
-	d.object, d.sign = object, r.Sign
+	d.object, d.signs, d.signed = object, r.Sign, start
 	// The VM's own lease first: nobody may believe that it has dropped a primary
 	// that it still uses.
 	d.vm.learn(r, "own write")
@@ -179,33 +185,35 @@
 	d.poke()
 }
 
-// prove proves that this process holds the duty by a write that changes nothing but
-// the number of its signs: VMs that are cut off from it see that it reaches the
-// store. Any other write proves as much.
-func (d *duty) prove(ctx context.Context) error {
+// sign grows a number in the record: VMs that are cut off from this one see that it
+// reaches the store. Any other write does as well.
+func (d *duty) sign(ctx context.Context) {
 	if !d.writing.TryLock() {
-		return nil
+		return
 	}
 	defer d.writing.Unlock()
 	d.mu.Lock()
 	held, object := d.holding(), d.object
-	r := storedRecord{Record: d.state.Record, Run: d.vm.run, Sign: d.sign + 1}
+	r := storedRecord{Record: d.state.Record, Run: d.vm.run, Sign: d.signs + 1}
 	r.Settled = held && d.state.Clear(clock.Now())
+	d.signed = clock.Now()
 	d.mu.Unlock()
 	if !held {
-		return errLost
+		return
 	}
-	start := clock.Now()
-	version, err := d.put(ctx, object, r)
+	short, cancel := context.WithTimeout(ctx, signTime)
+	defer cancel()
+	version, err := d.put(short, object, r)
 	if err != nil {
 		d.vm.Log.Debug().Err(err).Msg("sign of the holder not written")
-		return d.confirm(ctx)
+		if err := d.confirm(ctx); err != nil { // the write may have been carried out
+			d.vm.Log.Debug().Err(err).Msg("record not read after a sign")
+		}
+		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.object, d.sign = version, r.Sign
-	d.state.Confirmed = max(d.state.Confirmed, start)
-	return nil
+	d.object, d.signs = version, r.Sign
 }
 
 // confirm proves that this process holds the duty by reading the record.
@@ -232,7 +240,7 @@
 		d.vm.learn(r, "confirm")
 		d.state.Written(r.Record, start, clock.Now())
 	}
-	d.object, d.sign = object, max(d.sign, r.Sign)
+	d.object, d.signs = object, max(d.signs, r.Sign)
 	d.state.Confirmed = max(d.state.Confirmed, start)
 	d.mu.Unlock()
 	return nil
@@ -271,7 +279,7 @@
 func (d *duty) hold(ctx context.Context) {
 	tick := time.NewTicker(dutyPeriod)
 	defer tick.Stop()
-	var confirming sync.Mutex
+	var confirming, signing sync.Mutex
 	for {
 		select {
 		case <-ctx.Done():
@@ -281,6 +289,7 @@
 		now := clock.Now()
 		d.mu.Lock()
 		held, due := d.holding(), now-d.state.Confirmed > confirmPeriod
+		unsigned := now-d.signed > signPeriod && len(d.moves) == 0
 		d.mu.Unlock()
 		if !held {
 			continue
@@ -288,11 +297,17 @@
 		if due && confirming.TryLock() {
 			go func() {
 				defer confirming.Unlock()
-				if err := d.prove(ctx); err != nil && !errors.Is(err, errLost) {
+				if err := d.confirm(ctx); err != nil && !errors.Is(err, errLost) {
 					pollendoor.Pause(ctx, retryPause)
 				}
 			}()
 		}
+		if unsigned && signing.TryLock() {
+			go func() {
+				defer signing.Unlock()
+				d.sign(ctx)
+			}()
+		}
 		d.admit(ctx, now)
 		d.look(ctx, now)
 	}
--- a/fleet/grant.go
+++ b/fleet/grant.go
@@ -111,7 +111,7 @@
 	a := &packet{
 		Kind: packetAnswer, Token: r.Token, Stamp: now, Echo: p.Stamp, Version: r.Version,
 		Lease: d.state.Lease(p.From.Name, now), Positions: make(map[string]position),
-		Sign: d.sign, Relay: p.Relay, To: p.From.IP, Want: now-d.state.Confirmed > wantAfter,
+		Sign: d.signs, Relay: p.Relay, To: p.From.IP, Want: now-d.state.Confirmed > wantAfter,
 	}
 	a.Listed, a.Digest = v.targets.State()
 	if version != r.Version && small(&r) {
--- a/fleet/leave.go
+++ b/fleet/leave.go
@@ -60,7 +60,7 @@
 	d.mu.Lock()
 	held, object, old := d.holding(), d.object, d.state.Record
 	next, ok := d.state.Successor(d.vm.Settings.VM, d.stays, clock.Now())
-	r := storedRecord{Record: old.Hand(next, d.peers[next].IP), Sign: d.sign + 1} // by no process: the successor has to claim it
+	r := storedRecord{Record: old.Hand(next, d.peers[next].IP), Sign: d.signs + 1} // by no process: the successor has to claim it
 	r.Settled = held && d.state.Clear(clock.Now())
 	// Nothing is granted from here on, whatever becomes of the write.
 	d.held = held && !ok
--- a/reign/lease.go
+++ b/reign/lease.go
@@ -51,7 +51,8 @@
 const TakeoverAfter = 1300 * time.Millisecond
 
 // lostSign is how long the holder gives no sign at the store before a VM that hears
-// from less than half of the others takes the duty over: three of those signs.
+// from less than half of the others takes the duty over: two of those signs, and a
+// call.
 const lostSign = 1800 * time.Millisecond
 
 // strangerDelay is how much longer a VM waits that is no member: a takeover by it
