fleet, conf: packets encoded once, one place that puts a record together, one reader of settings

- A packet for many VMs was encoded, and its sender's fields filled in, once for each of them, and each address put together as text and parsed: beat.write takes several addresses now.
"The others but for the holder" stood in three places.
- What a holder writes (process, sign, whether it is settled) was put together in three places: duty.next.
- The key of the cached orders of homes was a string built for each statement.
- Reading and strict decoding of a settings file stood in conf and in fleet: conf.Read and conf.Decode serve both.
- VM.wanted beside beat.wanted meant something else: renamed.

Left, as they would change behavior: the broker's queue beside package queue, the retry rule beside package retry, renew's own read of the record beside duty.read (it treats a missing record otherwise), the two loops that collect a VM's reports.

--- a/conf/conf.go
+++ b/conf/conf.go
@@ -37,20 +37,33 @@
 }
 
 // Load reads and checks the file at path.
-func Load(path string) (Config, error) {
+func Load(path string) (Config, error) { return Read(path, Parse) }
+
+// Read reads a settings file whose text parse understands. Errors name the file.
+func Read[T any](path string, parse func([]byte) (T, error)) (T, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
-		return Config{}, errors.Wrap(err, "settings file")
+		var none T
+		return none, errors.Wrap(err, "settings file")
 	}
-	c, err := Parse(raw)
+	c, err := parse(raw)
 	return c, errors.Wrap(err, path)
 }
 
+// Decode reads the text of a settings file into a struct. An unknown field is an
+// error with line and column.
+func Decode(raw []byte, into any) error {
+	if err := yaml.UnmarshalWithOptions(raw, into, yaml.Strict()); err != nil {
+		return errors.Newf("%s", yaml.FormatError(err, false, true))
+	}
+	return nil
+}
+
 // Parse reads and checks the text of a settings file.
 func Parse(raw []byte) (Config, error) {
 	c := Config{Connections: 6, DrainTime: "30s", LogLevel: "info"}
-	if err := yaml.UnmarshalWithOptions(raw, &c, yaml.Strict()); err != nil {
-		return c, errors.Newf("%s", yaml.FormatError(err, false, true))
+	if err := Decode(raw, &c); err != nil {
+		return c, err
 	}
 	return c, c.check()
 }
--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -131,26 +132,29 @@
 	}
 }
 
-// write sends a packet of this VM.
-func (b *beat) write(ip string, p *packet) {
+// write sends a packet of this VM to others.
+func (b *beat) write(p *packet, ips ...string) {
 	p.From = b.vm.self()
-	b.forward(ip, p)
+	b.forward(p, ips...)
 }
 
-// forward sends a packet as it is.
-func (b *beat) forward(ip string, p *packet) {
+// forward sends a packet as it is. It is encoded once for all.
+func (b *beat) forward(p *packet, ips ...string) {
 	raw, err := cbor.Marshal(p)
 	if err != nil {
 		b.vm.Log.Error().Err(err).Msg("packet not encoded")
 		return
 	}
-	a, err := netip.ParseAddrPort(b.vm.addr(ip))
-	if err != nil {
-		b.vm.Log.Warn().Err(err).Str("ip", ip).Msg("address of another VM not understood")
-		return
-	}
-	if _, err := b.conn.WriteToUDPAddrPort(raw, a); err != nil && !errors.Is(err, net.ErrClosed) {
-		b.vm.Log.Debug().Err(err).Str("ip", ip).Msg("packet not sent")
+	for _, ip := range ips {
+		a, err := netip.ParseAddr(ip)
+		if err != nil {
+			b.vm.Log.Warn().Err(err).Str("ip", ip).Msg("address of another VM not understood")
+			continue
+		}
+		to := netip.AddrPortFrom(a, uint16(b.vm.Settings.PeerPort))
+		if _, err := b.conn.WriteToUDPAddrPort(raw, to); err != nil && !errors.Is(err, net.ErrClosed) {
+			b.vm.Log.Debug().Err(err).Str("ip", ip).Msg("packet not sent")
+		}
 	}
 }
 
@@ -197,7 +201,7 @@
 	b.mu.Unlock()
 	if r.Holder != "" && r.Holder != v.Settings.VM {
 		p := b.heartbeat(&r, now)
-		b.write(r.Addr, p)
+		b.write(p, r.Addr)
 		if silent > relayAfter {
 			b.relays(&r, p)
 		}
@@ -284,7 +288,7 @@
 		b.heartbeatOf(p, now)
 	case packetAnswer:
 		if p.Relay != "" && p.To != b.vm.Settings.IP {
-			b.forward(p.To, p)
+			b.forward(p, p.To)
 			return
 		}
 		b.answer(p, now)
@@ -300,7 +304,7 @@
 		if b.vm.duty.holds() {
 			age = 0
 		}
-		b.write(p.From.IP, &packet{Kind: packetTell, Token: b.vm.lease.Load().Record.Token, Echo: p.Stamp, Age: age})
+		b.write(&packet{Kind: packetTell, Token: b.vm.lease.Load().Record.Token, Echo: p.Stamp, Age: age}, p.From.IP)
 	case packetNews:
 		b.compare(p, now)
 	case packetAdmit:
@@ -325,31 +329,37 @@
 		if p.Relay != "" {
 			ip = p.Relay
 		}
-		b.write(ip, a)
+		b.write(a, ip)
 		return
 	}
 	r := b.vm.lease.Load().Record
 	if p.Relay == "" && r.Addr != "" && r.Addr != b.vm.Settings.IP {
 		p.Relay = b.vm.Settings.IP
-		b.forward(r.Addr, p)
+		b.forward(p, r.Addr)
 	}
 }
 
 // relays sends a heartbeat through some other VMs, when the holder does not
 // answer the direct one.
 func (b *beat) relays(r *reign.Record, p *packet) {
-	list := b.vm.view.Load().Peers
-	n := 0
-	for _, i := range rand.Perm(len(list)) {
-		o := list[i]
-		if o.Name == b.vm.Settings.VM || o.Name == r.Holder {
-			continue
-		}
-		b.write(o.IP, p)
-		if n++; n == relayedThrough {
-			return
-		}
+	list := addresses(b.others(r.Holder))
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	b.write(p, list[:min(len(list), relayedThrough)]...)
+}
+
+// others returns the live VMs but for this one and the holder.
+func (b *beat) others(holder string) []peer {
+	return slices.DeleteFunc(slices.Clone(b.vm.view.Load().Peers), func(p peer) bool {
+		return p.Name == b.vm.Settings.VM || p.Name == holder
+	})
+}
+
+func addresses(list []peer) []string {
+	out := make([]string, 0, len(list))
+	for _, p := range list {
+		out = append(out, p.IP)
 	}
+	return out
 }
 
 // answer takes the holder's answer to the heartbeat that was sent at p.Echo.
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -133,6 +135,12 @@
 	return d.vm.Platform.Store.Put(ctx, recordName, version, raw)
 }
 
+// next returns a record as this holder writes it. The caller holds mu.
+func (d *duty) next(r reign.Record) storedRecord {
+	r.Settled = d.state.Clear(clock.Now())
+	return storedRecord{Record: r, Run: d.vm.run, Sign: d.signs + 1}
+}
+
 // write changes the record in the store. After a lost answer it reads back what
 // became of the write. It returns errLost if this process is not the holder.
 func (d *duty) write(ctx context.Context, change func(reign.Record) reign.Record) error {
@@ -145,8 +153,7 @@
 			d.mu.Unlock()
 			return errLost
 		}
-		next := storedRecord{Record: change(old), Run: d.vm.run, Sign: d.signs + 1}
-		next.Settled = d.state.Clear(clock.Now())
+		next := d.next(change(old))
 		d.state.Propose(next.Members)
 		d.mu.Unlock()
 		start := clock.Now()
@@ -193,9 +200,7 @@
 	}
 	defer d.writing.Unlock()
 	d.mu.Lock()
-	held, object := d.holding(), d.object
-	r := storedRecord{Record: d.state.Record, Run: d.vm.run, Sign: d.signs + 1}
-	r.Settled = held && d.state.Clear(clock.Now())
+	held, object, r := d.holding(), d.object, d.next(d.state.Record)
 	d.signed = clock.Now()
 	d.mu.Unlock()
 	if !held {
@@ -270,9 +275,7 @@
 	if small(&r.Record) {
 		p.Record = &r
 	}
-	for ip := range ips {
-		d.vm.beat.write(ip, &p)
-	}
+	d.vm.beat.write(&p, slices.Collect(maps.Keys(ips))...)
 }
 
 // hold does the holder's work while this VM holds the duty.
--- a/fleet/grant.go
+++ b/fleet/grant.go
@@ -41,10 +41,11 @@
 
 // division returns how rates may be divided now.
 func (d *duty) division(now time.Duration) share.Division {
+	settling := d.state.Settling(share.Life, now)
 	switch {
-	case d.state.Settling(share.Life, now) && d.state.Clear(now):
+	case settling && d.state.Clear(now):
 		return share.Known
-	case d.state.Settling(share.Life, now):
+	case settling:
 		return share.Held
 	case !d.state.Proved(now):
 		return share.Frozen // another VM may have taken the duty over
--- a/fleet/homes.go
+++ b/fleet/homes.go
@@ -44,11 +44,14 @@
 	mu      sync.Mutex
 	brokers map[string]*broker.Broker // by target
 	avoid   map[string]time.Duration  // VMs that were not reached, until when
-	orders  map[string][]peer         // by target's id and zone, for the view in ordered
+	orders  map[place][]peer          // for the view in ordered
 	ordered *view
 	delays  map[string]delayHint // by target
 }
 
+// place is what the order of a target's homes depends on, besides the view.
+type place struct{ target, zone string }
+
 // delayHint is what a home told of its queue.
 type delayHint struct {
 	delay time.Duration
@@ -93,9 +96,9 @@
 // for each view of the VMs. The caller holds mu.
 func (h *homes) order(t pollendoor.TargetInfo) []peer {
 	if v := h.vm.view.Load(); v != h.ordered {
-		h.ordered, h.orders = v, make(map[string][]peer)
+		h.ordered, h.orders = v, make(map[place][]peer)
 	}
-	key := t.ID + "@" + t.Zone
+	key := place{t.ID, t.Zone}
 	list, ok := h.orders[key]
 	if !ok {
 		list = order(h.ordered, h.vm.self(), t)
--- a/fleet/leave.go
+++ b/fleet/leave.go
@@ -58,10 +58,10 @@
 	d.writing.Lock()
 	defer d.writing.Unlock()
 	d.mu.Lock()
-	held, object, old := d.holding(), d.object, d.state.Record
-	next, ok := d.state.Successor(d.vm.Settings.VM, d.stays, clock.Now())
-	r := storedRecord{Record: old.Hand(next, d.peers[next].IP), Sign: d.signs + 1} // by no process: the successor has to claim it
-	r.Settled = held && d.state.Clear(clock.Now())
+	held, object := d.holding(), d.object
+	to, ok := d.state.Successor(d.vm.Settings.VM, d.stays, clock.Now())
+	r := d.next(d.state.Record.Hand(to, d.peers[to].IP))
+	r.Run = 0 // no process holds it: the successor has to claim it
 	// Nothing is granted from here on, whatever becomes of the write.
 	d.held = held && !ok
 	d.mu.Unlock()
@@ -74,7 +74,7 @@
 	if _, err := d.put(ctx, object, r); err != nil {
 		return err
 	}
-	d.vm.Log.Info().Str("to", next).Uint64("version", r.Version).Msg("duty handed over")
+	d.vm.Log.Info().Str("to", to).Uint64("version", r.Version).Msg("duty handed over")
 	d.vm.learn(r, "own write")
 	d.tell(r)
 	return nil
--- a/fleet/news.go
+++ b/fleet/news.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pollendoor/pollendoor/clock"
@@ -118,11 +119,8 @@
 	if c := v.config.Load(); c != nil {
 		p.Config = c.Version
 	}
-	for _, o := range v.view.Load().Peers {
-		if o.Zone == v.Settings.Zone && o.Name != v.Settings.VM {
-			b.write(o.IP, p)
-		}
-	}
+	near := slices.DeleteFunc(b.others(""), func(o peer) bool { return o.Zone != v.Settings.Zone })
+	b.write(p, addresses(near)...)
 }
 
 // fetchRecord takes a record over from the holder that is too large for a datagram.
--- a/fleet/rates.go
+++ b/fleet/rates.go
@@ -108,7 +108,7 @@
 	}()
 	for range keeperTries {
 		// A repeated question may take a second operation, never none.
-		r.vm.beat.write(k.IP, &packet{Kind: packetAdmit, Question: id, Team: team})
+		r.vm.beat.write(&packet{Kind: packetAdmit, Question: id, Team: team}, k.IP)
 		t := time.NewTimer(keeperTimeout)
 		select {
 		case a := <-ch:
@@ -132,7 +132,7 @@
 		return
 	}
 	a.Wait, a.Verdict = r.vm.buckets.Admit(p.Team, l, now)
-	r.vm.beat.write(p.From.IP, &a)
+	r.vm.beat.write(&a, p.From.IP)
 }
 
 // answered passes a keeper's answer on.
--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -2,12 +2,11 @@
 
 import (
 	"net"
-	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/goccy/go-yaml"
 
+	"github.com/pollendoor/pollendoor/conf"
 	"github.com/pollendoor/pollendoor/share"
 )
 
@@ -37,21 +36,14 @@
 }
 
 // Load reads and checks the settings file at path.
-func Load(path string) (Settings, error) {
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return Settings{}, errors.Wrap(err, "settings file")
-	}
-	s, err := Parse(raw)
-	return s, errors.Wrap(err, path)
-}
+func Load(path string) (Settings, error) { return conf.Read(path, Parse) }
 
 // Parse reads and checks the text of a settings file. An unknown field is an
 // error with line and column.
 func Parse(raw []byte) (Settings, error) {
 	s := Settings{LogLevel: "info"}
-	if err := yaml.UnmarshalWithOptions(raw, &s, yaml.Strict()); err != nil {
-		return s, errors.Newf("%s", yaml.FormatError(err, false, true))
+	if err := conf.Decode(raw, &s); err != nil {
+		return s, err
 	}
 	return s, s.check()
 }
--- a/fleet/takeover.go
+++ b/fleet/takeover.go
@@ -17,11 +17,7 @@
 
 // ask asks the other VMs whether they hear the holder.
 func (b *beat) ask(r *reign.Record, now time.Duration) {
-	for _, p := range b.vm.view.Load().Peers {
-		if p.Name != b.vm.Settings.VM && p.Name != r.Holder {
-			b.write(p.IP, &packet{Kind: packetAsk, Token: r.Token, Stamp: now})
-		}
-	}
+	b.write(&packet{Kind: packetAsk, Token: r.Token, Stamp: now}, addresses(b.others(r.Holder))...)
 }
 
 // sight is what the decision on a takeover needs.
@@ -34,10 +30,7 @@
 	if w := b.wanted.Echo(r.Token); w > 0 {
 		s.Without = now - w
 	}
-	for _, p := range b.vm.view.Load().Peers {
-		if p.Name == b.vm.Settings.VM || p.Name == r.Holder {
-			continue
-		}
+	for _, p := range b.others(r.Holder) {
 		s.Others++
 		t, ok := b.told[p.Name]
 		if !ok || now-t.at > tellAge {
--- a/fleet/vm.go
+++ b/fleet/vm.go
@@ -75,9 +75,9 @@
 	rings sync.Map // *sample.Ring by group
 	used  sync.Map // when a read last asked for a group's positions, by group
 
-	wanted int      // of the groups in used, the one that was asked for last; of the sender of heartbeats
-	fates  sync.Map // *fate by group
-	lags   sync.Map // lag by target id
+	asked int      // of the groups in used, the one that was asked for last; of the sender of heartbeats
+	fates sync.Map // *fate by group
+	lags  sync.Map // lag by target id
 
 	failMu  sync.Mutex
 	failing map[string]failures // by target, for those that fail
--- a/fleet/wants.go
+++ b/fleet/wants.go
@@ -39,7 +39,7 @@
 		}
 		return true
 	})
-	return turns(list, wantMost, &v.wanted)
+	return turns(list, wantMost, &v.asked)
 }
 
 // turns returns up to most of the list, going on where it stopped the last time.
