share, fleet: a reserve of each team's rate beside the zones' shares; traffic counted by kind and distance

Ruled out: shares that arrive late (the refusals come from the first second to the last), and `session refused`: those 1,541 NODB and 663 UNAUTH are sessions for databases and keys that no configuration has, which are refused rightly.

Change: one VM of the fleet keeps a reserve of each team, 0.6 of the allowance of a small team and 0.1 of a large one. An operation asks its zone's keeper, then the reserve, then its zone's keeper again with more patience. The reserve is one more share of the same account, so it lapses and is released by the same rules. Keepers are worked out once for each view instead of hashed anew for each operation.

--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -155,6 +155,7 @@
 		if _, err := b.conn.WriteToUDPAddrPort(raw, to); err != nil && !errors.Is(err, net.ErrClosed) {
 			b.vm.Log.Debug().Err(err).Str("ip", ip).Msg("packet not sent")
 		}
+		b.vm.stats.traffic.sent(flow(p.Kind), ip, len(raw))
 	}
 }
 
@@ -223,14 +224,10 @@
 // heartbeat puts a heartbeat together.
 func (b *beat) heartbeat(r *reign.Record, now time.Duration) *packet {
 	v := b.vm
-	held, seq := v.buckets.Report(now)
 	p := &packet{
 		Kind: packetBeat, Token: r.Token, Stamp: now, Version: r.Version, Run: v.run, Power: v.Settings.CPU,
 		Reports: make(map[string]reign.Report), Positions: make(map[string]position),
-		Held: held, ViewSeen: v.view.Load().Version, Wants: v.wants(now),
-	}
-	if v.shareToken() == r.Token {
-		p.ShareSeq = seq
+		Held: v.rates.report(r.Token, now), ViewSeen: v.view.Load().Version, Wants: v.wants(now),
 	}
 	if c := v.config.Load(); c != nil {
 		p.Config = c.Version
@@ -278,6 +275,10 @@
 			b.vm.Log.Warn().Err(err).Int("bytes", n).Msg("packet ignored")
 			continue
 		}
+		if p.Kind >= packetKinds {
+			b.vm.Log.Warn().Uint8("kind", uint8(p.Kind)).Msg("packet of a kind that is not known ignored")
+			continue
+		}
 		b.handle(&p, clock.Now())
 	}
 }
@@ -399,9 +400,8 @@
 	if p.View != nil {
 		v.takeView(p.View)
 	}
-	if c := v.Config(); c != nil && fresh && p.Shares != nil {
-		v.setShareToken(p.Token)
-		v.buckets.Adopt(p.Shares, p.ShareSeq, c.Teams, p.Echo, now)
+	if fresh {
+		v.rates.adopt(p.Token, p.Shares, p.Echo, now)
 	}
 	for name, s := range p.Positions {
 		v.ring(name).Add(sample.Sample{Since: p.Echo + s.Since, Position: pollendoor.Position{Term: s.Term, Index: s.Index}})
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -105,7 +105,7 @@
 	d.signs = next.Sign
 	d.peers = map[string]peer{v.Settings.VM: v.self()}
 	d.view = view{Version: next.Token<<32 | 1, Peers: v.view.Load().Peers}
-	d.pool = share.Pool{}
+	d.pool = share.Pool{Reserves: true}
 	d.moves = make(map[string]bool)
 	d.mu.Unlock()
 	v.Log.Info().Uint64("token", next.Token).Str("before", r.Holder).Strs("members", next.Members).Msg("duty claimed")
--- a/fleet/grant.go
+++ b/fleet/grant.go
@@ -25,15 +25,8 @@
 	if l := d.state.Lease(v.Settings.VM, now); l > 0 {
 		v.changeLease(func(own *reign.Lease) bool { return own.Adopt(d.state.Record, now, l) })
 	}
-	held, seq := v.buckets.Report(now)
-	if v.shareToken() != d.state.Record.Token {
-		seq = 0
-	}
-	shares, seq := d.pool.Renew(share.Report{VM: v.Settings.VM, Zone: v.Settings.Zone, Run: v.run, Seq: seq, Held: held}, d.sharers(), d.division(now), now)
-	if c := v.Config(); c != nil {
-		v.setShareToken(d.state.Record.Token)
-		v.buckets.Adopt(shares, seq, c.Teams, now, now)
-	}
+	token := d.state.Record.Token
+	v.rates.adopt(token, d.renew(v.self(), v.run, v.rates.report(token, now), now), now, now)
 	d.refreshView(now, false)
 	v.takeView(&d.view)
 	v.beat.contact(now)
@@ -100,7 +93,10 @@
 	version := p.Version
 	if p.Token != r.Token {
 		// It speaks of an earlier holder's record, clock and shares.
-		version, p.Echo, p.ShareSeq, p.Positions = 0, 0, 0, nil
+		version, p.Echo, p.Positions = 0, 0, nil
+		for i := range p.Held {
+			p.Held[i].Seq = 0
+		}
 	}
 	d.state.Heard(reign.Heartbeat{VM: p.From.Name, Version: version, Echo: p.Echo, Promise: p.Promise, Bound: p.Bound, Power: p.Power, Reports: p.Reports}, now)
 	left := p.From.Leaving && d.view.has(p.From.Name)
@@ -138,7 +134,7 @@
 	if d.state.Lease(v.Settings.VM, now) == 0 {
 		return a // nobody uses primaries any longer by this holder's word
 	}
-	a.Shares, a.ShareSeq = d.pool.Renew(share.Report{VM: p.From.Name, Zone: p.From.Zone, Run: p.Run, Seq: p.ShareSeq, Held: p.Held}, d.sharers(), d.division(now), now)
+	a.Shares = d.renew(p.From, p.Run, p.Held, now)
 	return a
 }
 
@@ -180,15 +176,14 @@
 	n := *w
 	watched := v.watches()
 	v.view.Store(&n)
+	v.stats.traffic.follow(n.Peers, v.distance)
 	if watched && !v.watches() {
 		// Another VM watches the store for this zone from now on.
 		v.configs.nudge()
 		v.entries.nudge()
 	}
-	v.buckets.Configure(v.Settings.slack(), max(len(n.Peers), 1))
-	if c := v.Config(); c != nil {
-		v.buckets.Know(v.rates.kept(c), clock.Now())
-	}
+	v.rates.configure(max(len(n.Peers), 1))
+	v.rates.know(v.Config())
 	v.homes.refresh()
 	v.beat.viewed(n.has(v.Settings.VM), clock.Now())
 	v.beat.wake() // shares have to follow their keepers
--- a/fleet/lanes.go
+++ b/fleet/lanes.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"net"
 	"sync"
@@ -66,24 +67,33 @@
 type lane struct {
 	lanes *lanes
 	peer  string
+	ip    string
 	conn  net.Conn
-	out   *bufio.Writer
+	sent  bytes.Buffer
 	enc   *cbor.Encoder
 	dec   *cbor.Decoder
 	open  bool // the home holds a connection for this turn
 	dead  bool
 }
 
-func newLane(c net.Conn) *lane {
-	w := bufio.NewWriterSize(c, laneBuffer)
-	return &lane{conn: c, out: w, enc: cbor.NewEncoder(w), dec: cbor.NewDecoder(bufio.NewReaderSize(c, laneBuffer))}
+func newLane(s *lanes, c net.Conn) *lane {
+	l := &lane{lanes: s, conn: c, dec: cbor.NewDecoder(bufio.NewReaderSize(c, laneBuffer))}
+	l.enc = cbor.NewEncoder(&l.sent)
+	l.ip, _, _ = net.SplitHostPort(c.RemoteAddr().String()) // an address of TCP always has a port
+	return l
 }
 
-func (l *lane) send(v any) error {
+func (l *lane) send(f flow, v any) error {
+	l.sent.Reset()
 	if err := l.enc.Encode(v); err != nil {
 		return err
 	}
-	return l.out.Flush()
+	l.lanes.vm.stats.traffic.sent(f, l.ip, l.sent.Len())
+	_, err := l.conn.Write(l.sent.Bytes())
+	if l.sent.Cap() > laneBuffer {
+		l.sent = bytes.Buffer{} // lanes are many, and most carry little
+	}
+	return err
 }
 
 // take returns a lane to another VM.
@@ -100,8 +110,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "dial VM")
 	}
-	l := newLane(c)
-	l.lanes, l.peer = s, p.Name
+	l := newLane(s, c)
+	l.peer = p.Name
 	return l, nil
 }
 
@@ -132,7 +142,7 @@
 		return pollendoor.Reply{Lost: true, Sent: true, Text: "the lane to the target's home is closed"}
 	}
 	l.conn.SetDeadline(time.Now().Add(w.Timeout + laneSlack))
-	err := l.send(call{Work: w})
+	err := l.send(flowWork, call{Work: w})
 	var r result
 	if err == nil {
 		err = l.dec.Decode(&r)
@@ -159,7 +169,7 @@
 	if l.open {
 		l.open = false
 		l.conn.SetDeadline(time.Now().Add(laneSlack))
-		if err := l.send(call{}); err != nil {
+		if err := l.send(flowWork, call{}); err != nil {
 			l.dead = true
 			l.conn.Close() // which the home takes for the end of the turn, too
 			return
@@ -199,7 +209,7 @@
 	}
 	s.serves[c] = struct{}{}
 	s.mu.Unlock()
-	l := newLane(c)
+	l := newLane(s, c)
 	var current pollendoor.Turn
 	defer func() {
 		s.finish(&current)
@@ -215,6 +225,7 @@
 			return
 		}
 		var out result
+		var answer flow
 		switch {
 		case in.Work != nil && current == nil && !dial.Alive(c):
 			// The other VM has given it up: this one was frozen, most likely.
@@ -222,21 +233,23 @@
 			return
 		case in.Work != nil:
 			r := s.work(&current, in.Work)
-			out.Reply = &r
+			out.Reply, answer = &r, flowReply
 		case in.Config:
 			if v := s.vm.config.Load(); v != nil {
 				out.Config = v.raw
 			}
+			answer = flowConfig
 		case in.Targets:
 			out.Targets, out.Listed = s.vm.targets.Listed()
+			answer = flowTargets
 		case in.Record:
-			out.Record = s.vm.duty.record()
+			out.Record, answer = s.vm.duty.record(), flowRecord
 		default:
 			s.finish(&current)
 			continue
 		}
 		c.SetWriteDeadline(time.Now().Add(laneIdle))
-		if err := l.send(out); err != nil {
+		if err := l.send(answer, out); err != nil {
 			return
 		}
 	}
@@ -276,7 +289,7 @@
 	}
 	l.conn.SetDeadline(time.Now().Add(askTimeout))
 	var r result
-	if err = l.send(c); err == nil {
+	if err = l.send(flowAsk, c); err == nil {
 		err = l.dec.Decode(&r)
 	}
 	if err != nil {
--- a/fleet/packet.go
+++ b/fleet/packet.go
@@ -20,6 +20,7 @@
 	packetNews                           // a zone's watcher has learned something
 	packetAdmit                          // a VM asks the keeper of a team's rate for an operation
 	packetAdmitted                       // its answer
+	packetKinds                          // their number
 )
 
 // position is a sample in a datagram. Since is counted from the echoed stamp's
@@ -40,26 +41,25 @@
 	Echo  time.Duration `cbor:"5,keyasint,omitempty"` // Stamp of the packet answered, or last received
 
 	// Of a heartbeat.
-	Version  uint64                   `cbor:"6,keyasint,omitempty"` // of the record adopted
-	Promise  time.Duration            `cbor:"7,keyasint,omitempty"` // no claim for so long after Echo
-	Reports  map[string]reign.Report  `cbor:"8,keyasint,omitempty"`
-	Held     map[string]share.Holding `cbor:"9,keyasint,omitempty"`
-	ShareSeq uint64                   `cbor:"10,keyasint,omitempty"`
-	ViewSeen uint64                   `cbor:"11,keyasint,omitempty"`
-	Power    float64                  `cbor:"25,keyasint,omitempty"` // share of a core
-	Wants    []string                 `cbor:"31,keyasint,omitempty"` // groups whose positions its reads need
-	Bound    time.Duration            `cbor:"29,keyasint,omitempty"` // left of a promise that may have been given
-	Run      uint64                   `cbor:"21,keyasint,omitempty"` // identifies the process
+	Version  uint64                  `cbor:"6,keyasint,omitempty"` // of the record adopted
+	Promise  time.Duration           `cbor:"7,keyasint,omitempty"` // no claim for so long after Echo
+	Reports  map[string]reign.Report `cbor:"8,keyasint,omitempty"`
+	Held     []share.Holdings        `cbor:"36,keyasint,omitempty"` // by source
+	ViewSeen uint64                  `cbor:"11,keyasint,omitempty"`
+	Power    float64                 `cbor:"25,keyasint,omitempty"` // share of a core
+	Wants    []string                `cbor:"31,keyasint,omitempty"` // groups whose positions its reads need
+	Bound    time.Duration           `cbor:"29,keyasint,omitempty"` // left of a promise that may have been given
+	Run      uint64                  `cbor:"21,keyasint,omitempty"` // identifies the process
 
 	// Of an answer.
-	Lease  time.Duration      `cbor:"12,keyasint,omitempty"`
-	Record *storedRecord      `cbor:"13,keyasint,omitempty"` // if Version is not the newest, and it is small
-	View   *view              `cbor:"14,keyasint,omitempty"` // if ViewSeen is not the newest
-	Shares map[string]float64 `cbor:"15,keyasint,omitempty"`
-	Digest uint64             `cbor:"20,keyasint,omitempty"` // of the sender's targets
-	Listed uint64             `cbor:"32,keyasint,omitempty"` // revision up to which it knows them
-	Sign   uint64             `cbor:"30,keyasint,omitempty"` // the holder's last one at the store
-	Want   bool               `cbor:"19,keyasint,omitempty"` // the holder needs promises: it does not reach the store
+	Lease  time.Duration  `cbor:"12,keyasint,omitempty"`
+	Record *storedRecord  `cbor:"13,keyasint,omitempty"` // if Version is not the newest, and it is small
+	View   *view          `cbor:"14,keyasint,omitempty"` // if ViewSeen is not the newest
+	Shares []share.Grants `cbor:"37,keyasint,omitempty"` // by source
+	Digest uint64         `cbor:"20,keyasint,omitempty"` // of the sender's targets
+	Listed uint64         `cbor:"32,keyasint,omitempty"` // revision up to which it knows them
+	Sign   uint64         `cbor:"30,keyasint,omitempty"` // the holder's last one at the store
+	Want   bool           `cbor:"19,keyasint,omitempty"` // the holder needs promises: it does not reach the store
 
 	Config    uint64              `cbor:"16,keyasint,omitempty"` // version in force at the sender
 	Positions map[string]position `cbor:"17,keyasint,omitempty"` // of primaries, by group
@@ -68,8 +68,9 @@
 	Age       time.Duration       `cbor:"18,keyasint,omitempty"` // of a tell: since the holder answered
 
 	// Of a question to the keeper of a team's rate, and its answer.
-	Team     string        `cbor:"24,keyasint,omitempty"`
-	Question uint64        `cbor:"26,keyasint,omitempty"` // number of the question
-	Verdict  share.Verdict `cbor:"27,keyasint,omitempty"`
-	Wait     time.Duration `cbor:"28,keyasint,omitempty"` // before the operation may begin
+	Team     string          `cbor:"24,keyasint,omitempty"`
+	Number   uint64          `cbor:"26,keyasint,omitempty"` // of the question
+	Question *share.Question `cbor:"33,keyasint,omitempty"`
+	Verdict  share.Verdict   `cbor:"27,keyasint,omitempty"`
+	Wait     time.Duration   `cbor:"28,keyasint,omitempty"` // before the operation may begin
 }
--- a/fleet/rates.go
+++ b/fleet/rates.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"encoding/binary"
 	"sync"
 	"time"
 
@@ -12,54 +13,126 @@
 )
 
 const (
-	// keeperTimeout is how long a VM waits for its zone's keeper of a team's rate:
+	// zoneTimeout is how long a VM waits for its zone's keeper of a team's rate:
 	// many times the round trip within a zone. Datagrams may be lost, so it asks
 	// twice.
-	keeperTimeout = 25 * time.Millisecond
-	keeperTries   = 2
+	zoneTimeout = 25 * time.Millisecond
+	// reserveTimeout is the same for the keeper of the reserve, which may be in
+	// another region.
+	reserveTimeout = 90 * time.Millisecond
+	keeperTries    = 2
 	// keeperAvoid is how long a keeper that did not answer is passed over.
 	keeperAvoid = 500 * time.Millisecond
+	// keepersKnown is the number of a zone's VMs that may come to keep a team's rate
+	// when others do not answer.
+	keepersKnown = 3
 	// sharePoll is how often an operation looks whether the share has come: about
 	// a round trip between regions, which heartbeats take.
 	sharePoll = 30 * time.Millisecond
 )
 
 // rates admits operations of teams. Each team has one keeper in each zone, which
-// holds the zone's share of the team's rate: a share for each VM would be less
-// than an operation a second in a large fleet.
+// holds the zone's share of the team's rate, and one in the fleet, which holds the
+// reserve: a share for each VM would be less than an operation a second in a large
+// fleet.
 type rates struct {
 	vm *VM
+	// buckets are the shares that this VM keeps, by source.
+	buckets [share.Sources]share.Buckets
 
 	mu      sync.Mutex
 	next    uint64
 	pending map[uint64]chan packet
 	avoid   map[string]time.Duration // keepers that did not answer, until when
+	seats   map[string]keepers       // by team, for the view in seated
+	seated  *view
+	hashes  []uint64 // of the names of the view's VMs
 }
 
-// keeperOf returns the VM of a zone that keeps a team's rate, of those that are
-// not passed over.
-func (r *rates) keeperOf(team string, now time.Duration) peer {
+// keepers are the VMs that keep a team's rate, as one VM sees it.
+type keepers struct {
+	zone    []peer // of this VM's zone, the first one that answers
+	reserve peer
+}
+
+// of returns a team's keepers. They are worked out once for each view of the VMs.
+// The caller holds mu.
+func (r *rates) of(team string) keepers {
 	v := r.vm
-	best, score := v.self(), uint64(0)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, p := range v.view.Load().Peers {
-		if p.Zone != v.Settings.Zone || now < r.avoid[p.Name] {
+	if w := v.view.Load(); w != r.seated {
+		r.seated, r.seats = w, make(map[string]keepers)
+		r.hashes = make([]uint64, 0, len(w.Peers))
+		for _, p := range w.Peers {
+			r.hashes = append(r.hashes, xxhash.Sum64String(p.Name))
+		}
+	}
+	k, ok := r.seats[team]
+	if !ok {
+		k = seat(r.seated.Peers, r.hashes, v.Settings.Zone, team)
+		r.seats[team] = k
+	}
+	return k
+}
+
+// seat chooses a team's keepers by rendezvous hashing. Hashes are those of the
+// peers' names.
+func seat(peers []peer, hashes []uint64, zone, team string) keepers {
+	var pair [16]byte
+	binary.LittleEndian.PutUint64(pair[8:], xxhash.Sum64String(team))
+	var k keepers
+	var scores [keepersKnown]uint64
+	best := uint64(0)
+	for i, p := range peers {
+		binary.LittleEndian.PutUint64(pair[:], hashes[i])
+		score := xxhash.Sum64(pair[:])
+		// The other half of the order: a VM that keeps a zone's share is not more
+		// likely to keep the reserve as well.
+		if s := ^score; s > best {
+			best, k.reserve = s, p
+		}
+		if p.Zone != zone {
+			continue
+		}
+		at := len(k.zone)
+		for at > 0 && score > scores[at-1] {
+			at--
+		}
+		if at == keepersKnown {
 			continue
 		}
-		if s := xxhash.Sum64String("rate/" + p.Name + "/" + team); s > score {
-			best, score = p, s
+		if len(k.zone) < keepersKnown {
+			k.zone = append(k.zone, peer{})
 		}
+		copy(k.zone[at+1:], k.zone[at:])
+		copy(scores[at+1:], scores[at:])
+		k.zone[at], scores[at] = p, score
 	}
-	return best
+	return k
 }
 
-// admit takes one operation of a team. While the keeper's share is on its way,
+// keeperOf returns the VM to ask for a team's operation, of those that are not
+// passed over. It reports false if there is none.
+func (r *rates) keeperOf(team string, s share.Source, now time.Duration) (peer, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := r.of(team)
+	if s == share.Reserve {
+		return k.reserve, k.reserve.Name != "" && now >= r.avoid[k.reserve.Name]
+	}
+	for _, p := range k.zone {
+		if now >= r.avoid[p.Name] {
+			return p, true
+		}
+	}
+	return r.vm.self(), true
+}
+
+// admit takes one operation of a team. While a keeper's share is on its way,
 // after a start or a change of the keeper, the operation waits for it.
 func (r *rates) admit(team string, l pollendoor.TeamLimit) (time.Duration, bool) {
 	begin := clock.Now()
-	for {
-		wait, verdict := r.decide(team, l)
+	for again := false; ; again = true {
+		wait, verdict := r.decide(team, l, again)
 		if verdict != share.Unshared || clock.Now()-begin > share.MaxWait-sharePoll {
 			return wait, verdict == share.Granted
 		}
@@ -67,31 +140,59 @@
 	}
 }
 
-// decide asks for one operation of a team, here or at the keeper.
-func (r *rates) decide(team string, l pollendoor.TeamLimit) (time.Duration, share.Verdict) {
+// decide asks the team's keepers for one operation.
+func (r *rates) decide(team string, l pollendoor.TeamLimit, again bool) (time.Duration, share.Verdict) {
+	last := share.Over
+	for _, q := range share.Questions() {
+		q.Again = q.Again || again
+		wait, verdict := r.put(team, l, q)
+		if verdict == share.Granted {
+			return wait, verdict
+		}
+		if verdict == share.Unshared {
+			last = share.Unshared
+		}
+	}
+	return 0, last
+}
+
+// put puts one question to the keeper that it is for.
+func (r *rates) put(team string, l pollendoor.TeamLimit, q share.Question) (time.Duration, share.Verdict) {
+	v := r.vm
 	now := clock.Now()
-	k := r.keeperOf(team, now)
-	if k.Name != r.vm.Settings.VM {
-		if a, ok := r.ask(k, team); ok {
+	k, ok := r.keeperOf(team, q.Source, now)
+	if !ok {
+		return 0, share.Over
+	}
+	if k.Name != v.Settings.VM {
+		if a, ok := r.ask(k, team, q); ok {
 			return a.Wait, a.Verdict
 		}
-		r.mu.Lock()
-		if r.avoid == nil {
-			r.avoid = make(map[string]time.Duration)
+		r.shun(k.Name, now)
+		v.Log.Info().Str("keeper", k.Name).Str("team", team).Bool("reserve", q.Source == share.Reserve).Msg("keeper of a rate not reached")
+		if q.Source == share.Reserve {
+			return 0, share.Over // nobody else may grant its operations
 		}
-		r.avoid[k.Name] = now + keeperAvoid
-		r.mu.Unlock()
-		r.vm.Log.Info().Str("keeper", k.Name).Str("team", team).Msg("keeper of a rate not reached")
 	}
-	wait, verdict := r.vm.buckets.Admit(team, l, now)
-	if verdict == share.Over && r.vm.view.Load().Version == 0 {
+	wait, verdict := r.buckets[q.Source].Admit(team, l, q, now)
+	if verdict == share.Over && v.view.Load().Version == 0 {
 		verdict = share.Unshared // this VM has yet to learn who keeps the rate
 	}
 	return wait, verdict
 }
 
+// shun passes a keeper over for a while.
+func (r *rates) shun(name string, now time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.avoid == nil {
+		r.avoid = make(map[string]time.Duration)
+	}
+	r.avoid[name] = now + keeperAvoid
+}
+
 // ask asks a keeper for one operation.
-func (r *rates) ask(k peer, team string) (packet, bool) {
+func (r *rates) ask(k peer, team string, q share.Question) (packet, bool) {
 	ch := make(chan packet, 1)
 	r.mu.Lock()
 	r.next++
@@ -106,10 +207,14 @@
 		delete(r.pending, id)
 		r.mu.Unlock()
 	}()
+	timeout := zoneTimeout
+	if q.Source == share.Reserve {
+		timeout = reserveTimeout
+	}
 	for range keeperTries {
 		// A repeated question may take a second operation, never none.
-		r.vm.beat.write(&packet{Kind: packetAdmit, Question: id, Team: team}, k.IP)
-		t := time.NewTimer(keeperTimeout)
+		r.vm.beat.write(&packet{Kind: packetAdmit, Number: id, Team: team, Question: &q}, k.IP)
+		t := time.NewTimer(timeout)
 		select {
 		case a := <-ch:
 			t.Stop()
@@ -122,23 +227,23 @@
 
 // asked answers another VM's question.
 func (r *rates) asked(p *packet, now time.Duration) {
-	a := packet{Kind: packetAdmitted, Question: p.Question}
-	c := r.vm.Config()
-	if c == nil {
+	c, q := r.vm.Config(), p.Question
+	if c == nil || q == nil || q.Source >= share.Sources {
 		return
 	}
 	l, ok := c.Teams[p.Team]
 	if !ok {
 		return
 	}
-	a.Wait, a.Verdict = r.vm.buckets.Admit(p.Team, l, now)
+	a := packet{Kind: packetAdmitted, Number: p.Number}
+	a.Wait, a.Verdict = r.buckets[q.Source].Admit(p.Team, l, *q, now)
 	r.vm.beat.write(&a, p.From.IP)
 }
 
 // answered passes a keeper's answer on.
 func (r *rates) answered(p *packet) {
 	r.mu.Lock()
-	ch := r.pending[p.Question]
+	ch := r.pending[p.Number]
 	r.mu.Unlock()
 	if ch != nil {
 		select {
@@ -148,16 +253,69 @@
 	}
 }
 
-// kept returns the teams whose rate this VM keeps for its zone.
-func (r *rates) kept(c *pollendoor.Config) map[string]pollendoor.TeamLimit {
-	out := make(map[string]pollendoor.TeamLimit)
-	if r.vm.view.Load().Version == 0 {
-		return out
+// know follows a change of the teams, or of the VMs that keep their rates.
+func (r *rates) know(c *pollendoor.Config) {
+	if c == nil {
+		return
 	}
+	v := r.vm
 	now := clock.Now()
-	for name, l := range c.Teams {
-		if r.keeperOf(name, now).Name == r.vm.Settings.VM {
-			out[name] = l
+	var kept [share.Sources]map[string]pollendoor.TeamLimit
+	for s := range kept {
+		kept[s] = make(map[string]pollendoor.TeamLimit)
+	}
+	if v.view.Load().Version > 0 {
+		for name, l := range c.Teams {
+			for s := range kept {
+				if k, ok := r.keeperOf(name, share.Source(s), now); ok && k.Name == v.Settings.VM {
+					kept[s][name] = l
+				}
+			}
+		}
+	}
+	for s := range kept {
+		r.buckets[s].Know(kept[s], now)
+	}
+}
+
+// configure sets the number of VMs that share the slack.
+func (r *rates) configure(peers int) {
+	for s := range r.buckets {
+		r.buckets[s].Configure(r.vm.Settings.slack(), peers)
+	}
+}
+
+// report returns the shares that this VM holds, for the holder with a token.
+func (r *rates) report(token uint64, now time.Duration) []share.Holdings {
+	out := make([]share.Holdings, share.Sources)
+	for s := range r.buckets {
+		out[s].Teams, out[s].Seq = r.buckets[s].Report(now)
+		if r.vm.shareToken() != token {
+			out[s].Seq = 0
+		}
+	}
+	return out
+}
+
+// adopt takes the shares that a heartbeat sent at sent has brought.
+func (r *rates) adopt(token uint64, grants []share.Grants, sent, now time.Duration) {
+	c := r.vm.Config()
+	if c == nil || len(grants) != int(share.Sources) {
+		return
+	}
+	r.vm.setShareToken(token)
+	for s, g := range grants {
+		r.buckets[s].Adopt(g.Amounts, g.Seq, c.Teams, sent, now)
+	}
+}
+
+// renew renews the shares that a VM reports. The caller holds mu.
+func (d *duty) renew(from peer, run uint64, held []share.Holdings, now time.Duration) []share.Grants {
+	out := make([]share.Grants, share.Sources)
+	for s, h := range held {
+		if s < len(out) {
+			r := share.Report{VM: from.Name, Source: share.Source(s), Zone: from.Zone, Run: run, Holdings: h}
+			out[s] = d.pool.Renew(r, d.sharers(), d.division(now), now)
 		}
 	}
 	return out
--- a/fleet/stats.go
+++ b/fleet/stats.go
@@ -22,6 +22,8 @@
 	Replica     atomic.Int64 // reads answered by replicas
 	Retries     atomic.Int64 // attempts beyond the first
 
+	traffic traffic
+
 	mu       sync.Mutex
 	outcomes map[pollendoor.ErrorCode]int64
 	latency  *hdrhistogram.Histogram // of statements that a target answered, in microseconds
@@ -77,6 +79,9 @@
 			return err
 		}
 	}
+	if err := s.traffic.write(w); err != nil {
+		return err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for code, n := range s.outcomes {
--- a/fleet/vm.go
+++ b/fleet/vm.go
@@ -22,7 +22,6 @@
 	"github.com/pollendoor/pollendoor/reign"
 	"github.com/pollendoor/pollendoor/roster"
 	"github.com/pollendoor/pollendoor/sample"
-	"github.com/pollendoor/pollendoor/share"
 )
 
 // Platform is what a VM needs of the platform.
@@ -57,7 +56,6 @@
 	targets   roster.Roster
 	entries   follower // of the targets' entries
 	configs   follower // of the configuration
-	buckets   share.Buckets
 	homes     homes
 	lanes     lanes
 	duty      duty
@@ -125,7 +123,7 @@
 	v.duty.vm = v
 	v.beat.vm = v
 	v.rates.vm = v
-	v.buckets.Configure(v.Settings.slack(), firstPeers)
+	v.rates.configure(firstPeers)
 	v.entries, v.configs = v.targetsFollower(), v.configFollower()
 	if err := v.beat.listen(); err != nil {
 		return err
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -178,7 +178,7 @@
 		}
 	}
 	v.logLimits(old, c)
-	v.buckets.Know(v.rates.kept(c), clock.Now())
+	v.rates.know(c)
 	v.homes.refresh()
 	v.Log.Info().Uint64("version", c.Version).Str("source", source).
 		Int("routes", len(c.Routes)).Int("keys", len(c.Keys)).Msg("configuration in force")
--- a/share/bucket.go
+++ b/share/bucket.go
@@ -27,17 +27,48 @@
 // refused. Small shares fill slowly, and callers come in clusters.
 const MaxWait = 400 * time.Millisecond
 
+// nearWait is the longest that an operation waits for a token of its zone before it
+// asks for one of the reserve: about a round trip between regions.
+const nearWait = 50 * time.Millisecond
+
 const (
 	// bareSlack is the part of the slack that VMs without a share use.
-	bareSlack = 0.3
+	bareSlack = 0.1
 	// burstKept is the part of a team's burst that may come at once; the rest is
 	// spread over the window.
 	burstKept = 0.3
 	// burstSlack is the part of the slack that enlarges the burst, which is
-	// divided among many VMs.
-	burstSlack = 0.6
+	// divided among many VMs. What is left of the slack is for the one token that
+	// a bucket holds however small its share is.
+	burstSlack = 0.55
+)
+
+// Source says whose tokens an operation asks for.
+type Source uint8
+
+// The sources.
+const (
+	Zone    Source = iota // the share of its zone
+	Reserve               // the part of the team's allowance that is kept for all zones
+	Sources               // their number
 )
 
+// Question is one attempt to get a token.
+type Question struct {
+	Source   Source        `cbor:"1,keyasint,omitempty"`
+	Patience time.Duration `cbor:"2,keyasint,omitempty"` // the longest wait for the token
+	Again    bool          `cbor:"3,keyasint,omitempty"` // the operation has been counted as demand before
+}
+
+// Questions returns what an operation asks, in this order, until one is granted.
+func Questions() []Question {
+	return []Question{
+		{Source: Zone, Patience: nearWait},
+		{Source: Reserve, Patience: MaxWait},
+		{Source: Zone, Patience: MaxWait, Again: true},
+	}
+}
+
 // whole returns the operations beyond rate and burst that fit into a window.
 func (s Slack) whole(l pollendoor.TeamLimit) float64 {
 	return s.Excess*(l.Rate*s.Window.Seconds()+l.Burst) + s.Margin
@@ -146,8 +177,8 @@
 
 // Admit takes one operation of a team and returns how long it has to wait for
 // its token. Nothing is taken unless the verdict is Granted; no token is further
-// away than MaxWait.
-func (b *Buckets) Admit(team string, l pollendoor.TeamLimit, now time.Duration) (time.Duration, Verdict) {
+// away than the question's patience.
+func (b *Buckets) Admit(team string, l pollendoor.TeamLimit, q Question, now time.Duration) (time.Duration, Verdict) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.team(team, now)
@@ -161,12 +192,14 @@
 	wait, ok := time.Duration(0), t.tokens >= 1
 	if !ok && rate > 0 {
 		wait = time.Duration((1 - t.tokens) / rate * float64(time.Second))
-		ok = wait <= MaxWait
+		ok = wait <= q.Patience
 	}
 	if !ok && !shared && t.kept && now < t.keeps+newKeeper {
 		return 0, Unshared // asked again, so it does not count as demand yet
 	}
-	t.asked++
+	if !q.Again {
+		t.asked++
+	}
 	if !ok {
 		return 0, Over
 	}
--- a/share/pool.go
+++ b/share/pool.go
@@ -1,6 +1,8 @@
 // Package share divides each team's rate and burst among the VMs of the fleet.
 // The duty holder grants shares that follow demand and lapse by themselves; the
-// shares that may be in use never sum to more than the whole.
+// shares that may be in use never sum to more than the whole. A part of each
+// allowance is a reserve for all zones: the share of a zone in a small team's rate
+// is less than an operation a second, and callers do not come evenly.
 package share
 
 import (
@@ -18,6 +20,12 @@
 	even = 0.25
 	// step is the least change of a share that is granted anew.
 	step = 0.03
+	// reserveMost and reserveLeast are the parts of an allowance that are kept in
+	// reserve for a team without any demand, and for one with a very large one.
+	reserveMost, reserveLeast = 0.6, 0.1
+	// reserveDemand is the demand of a zone, in operations a second, at which the
+	// reserve is half-way between the two.
+	reserveDemand = 8.0
 )
 
 // grant is an amount that a VM may be using.
@@ -30,6 +38,7 @@
 // holding is what is known of a VM's use of one team's allowance.
 type holding struct {
 	run    uint64 // process that reported it
+	source Source
 	zone   string
 	demand float64
 	heard  time.Duration // when it last reported, zero once it has given up its share
@@ -57,9 +66,16 @@
 // reports reports whether the VM shares the allowance.
 func (h *holding) reports(now time.Duration) bool { return h.heard > 0 && now-h.heard < Life }
 
+// sharer is a VM's part in dividing an allowance. One VM may keep both the share of
+// its zone and the reserve.
+type sharer struct {
+	vm     string
+	source Source
+}
+
 // account is all that is known of one team's allowance.
 type account struct {
-	vms map[string]*holding
+	vms map[sharer]*holding
 	// left is the demand of zones whose keeper has given up its share, for the
 	// one that takes its place.
 	left map[string]estimate
@@ -76,6 +92,9 @@
 
 // Pool is the duty holder's account of all shares. The zero value is empty.
 type Pool struct {
+	// Reserves says that one VM of the fleet keeps a reserve of each team.
+	Reserves bool
+
 	teams map[string]*account
 	seq   uint64
 }
@@ -106,27 +125,38 @@
 	Released bool `cbor:"4,keyasint,omitempty"`
 }
 
+// Holdings is the shares of one source that a VM reports.
+type Holdings struct {
+	Teams map[string]Holding `cbor:"1,keyasint,omitempty"`
+	Seq   uint64             `cbor:"2,keyasint,omitempty"` // of the grants adopted last, zero for those of another holder
+}
+
+// Grants is the answer to a report.
+type Grants struct {
+	Amounts map[string]float64 `cbor:"1,keyasint,omitempty"` // by team
+	Seq     uint64             `cbor:"2,keyasint,omitempty"`
+}
+
 // Report is what a VM tells of its shares.
 type Report struct {
-	VM   string
-	Zone string // availability zone
-	Run  uint64 // of its process: what an earlier one held is not in use any more
-	Seq  uint64 // of the grants adopted last, zero for those of another holder
-	Held map[string]Holding
+	VM     string
+	Source Source
+	Zone   string // availability zone
+	Run    uint64 // of its process: what an earlier one held is not in use any more
+	Holdings
 }
 
-// Renew takes a VM's report and returns its shares and their number. Live is how
-// many VMs share.
-func (p *Pool) Renew(r Report, live int, div Division, now time.Duration) (map[string]float64, uint64) {
+// Renew takes a VM's report and returns its shares. Live is how many zones share.
+func (p *Pool) Renew(r Report, live int, div Division, now time.Duration) Grants {
 	if p.teams == nil {
 		p.teams = make(map[string]*account)
 	}
 	p.seq++
-	out := make(map[string]float64, len(r.Held))
-	for team, h := range r.Held {
+	out := make(map[string]float64, len(r.Teams))
+	for team, h := range r.Teams {
 		a := p.teams[team]
 		if a == nil {
-			a = &account{vms: make(map[string]*holding), left: make(map[string]estimate)}
+			a = &account{vms: make(map[sharer]*holding), left: make(map[string]estimate)}
 			p.teams[team] = a
 		}
 		own := a.holding(&r, h, now)
@@ -134,58 +164,64 @@
 			a.release(own, now)
 			continue
 		}
-		if own.heard == 0 {
+		if own.heard == 0 && r.Source == Zone {
 			own.first = a.left[r.Zone]
 			delete(a.left, r.Zone)
 		}
 		own.demand, own.heard = h.Demand, now
 		own.grants = slices.DeleteFunc(own.grants, func(g grant) bool { return g.seq < r.Seq })
-		amount := a.amount(own, live, div, now)
+		amount := a.amount(own, live, p.Reserves, div, now)
 		own.grants = append(own.grants, grant{seq: p.seq, amount: amount, until: now + Life})
 		out[team] = amount
 	}
-	return out, p.seq
+	return Grants{Amounts: out, Seq: p.seq}
 }
 
 // holding returns what is known of the VM that reports, with what it held from an
 // earlier holder if this is its first report.
 func (a *account) holding(r *Report, h Holding, now time.Duration) *holding {
-	own := a.vms[r.VM]
+	own := a.vms[sharer{r.VM, r.Source}]
 	if own != nil && own.run == r.Run {
 		return own
 	}
 	if own != nil {
 		a.release(own, now) // by its end
 	}
-	own = &holding{run: r.Run, zone: r.Zone, before: h.Amount}
+	own = &holding{run: r.Run, source: r.Source, zone: r.Zone, before: h.Amount}
 	if h.Left <= 0 {
 		own.lapsed = h.Amount
 	}
 	if h.Left > 0 && h.Amount > 0 {
 		own.grants = []grant{{amount: h.Amount, until: now + h.Left}}
 	}
-	a.vms[r.VM] = own
+	a.vms[sharer{r.VM, r.Source}] = own
 	return own
 }
 
 // release takes a VM's share back. What it held from an earlier holder stays
 // known, for the keeper that takes its place.
 func (a *account) release(h *holding, now time.Duration) {
-	if h.heard > 0 {
+	if h.heard > 0 && h.source == Zone {
 		a.left[h.zone] = estimate{h.expected(now), now}
 	}
 	h.grants, h.demand, h.heard, h.first = nil, 0, 0, estimate{}
 }
 
+// reserve returns the part of an allowance that is kept in reserve, by the demand
+// of each zone.
+func reserve(demand float64) float64 {
+	return reserveLeast + (reserveMost-reserveLeast)/(1+demand/reserveDemand)
+}
+
 // amount decides the share of a VM.
-func (a *account) amount(own *holding, live int, div Division, now time.Duration) float64 {
+func (a *account) amount(own *holding, live int, reserves bool, div Division, now time.Duration) float64 {
 	demand, others, before := 0.0, 0.0, 0.0
 	reporting := 0
 	for _, h := range a.vms {
 		if h != own {
 			others += h.outstanding(now)
 		}
-		if h.reports(now) {
+		if h.source == Zone && h.reports(now) {
 			demand += h.expected(now)
 			reporting++
 		}
@@ -206,19 +242,27 @@
 		// with the VMs that have reported may be with the others.
 		whole = min(1, before)
 	}
+	live = max(1, live)
+	kept := 0.0
+	if reserves {
+		kept = whole * reserve(demand/float64(live))
+	}
 	current := own.outstanding(now)
-	want := whole / float64(max(1, live))
+	want := (whole - kept) / float64(live)
 	switch {
 	case div == Frozen:
 		return max(0, min(current, whole-others))
-	case div != Whole && current > 0:
+	case own.source == Reserve:
+		want = kept
+	case div != Whole:
+	case demand > 0 && reporting >= live:
+		// Before all have told their demand, the first ones would get it all.
+		want = (whole - kept) * (even/float64(live) + (1-even)*own.expected(now)/demand)
+	}
+	if div != Whole && current > 0 {
 		// The demand of those that have reported first says nothing yet.
 		return max(0, min(max(current, want), whole-others))
 	}
-	if demand > 0 && div == Whole && reporting >= live {
-		// Before all have told their demand, the first ones would get it all.
-		want = whole * (even/float64(max(1, live)) + (1-even)*own.expected(now)/demand)
-	}
 	sum := current + others
 	if d := want - current; d < step && d > -step && sum <= whole && sum > whole-step {
 		return current
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -15,6 +15,9 @@
 
 var slack = share.Slack{Window: 5 * time.Second, Excess: 0.1, Margin: 20}
 
+// patient asks for a token with the longest wait.
+var patient = share.Question{Patience: share.MaxWait}
+
 func held(amount float64, left time.Duration, demand float64) map[string]share.Holding {
 	return map[string]share.Holding{"t": {Amount: amount, Left: left, Demand: demand}}
 }
@@ -28,8 +31,8 @@
 	for range 40 {
 		now += 100 * time.Millisecond
 		for vm, demand := range map[string]float64{"a": 40, "b": 1, "c": 0} {
-			got, n := p.Renew(share.Report{VM: vm, Seq: seq[vm], Held: held(amounts[vm], share.Life, demand)}, 3, share.Whole, now)
-			amounts[vm], seq[vm] = got["t"], n
+			got := p.Renew(share.Report{VM: vm, Holdings: share.Holdings{Seq: seq[vm], Teams: held(amounts[vm], share.Life, demand)}}, 3, share.Whole, now)
+			amounts[vm], seq[vm] = got.Amounts["t"], got.Seq
 		}
 	}
 	if got, least := amounts["a"], 0.75; got < least {
@@ -43,13 +46,13 @@
 // A new duty holder does not know what the VMs that it has not heard may use.
 func TestNewHolderDividesOnlyWhatWasHeld(t *testing.T) {
 	var p share.Pool
-	a, _ := p.Renew(share.Report{VM: "a", Held: held(0.3, 0, 10)}, 3, share.Known, time.Second)
-	b, _ := p.Renew(share.Report{VM: "b", Held: held(0.2, time.Second, 10)}, 3, share.Known, time.Second)
-	if got, most := a["t"]+b["t"], 0.5; got > most+1e-9 || got < 0.3 {
+	a := p.Renew(share.Report{VM: "a", Holdings: share.Holdings{Teams: held(0.3, 0, 10)}}, 3, share.Known, time.Second)
+	b := p.Renew(share.Report{VM: "b", Holdings: share.Holdings{Teams: held(0.2, time.Second, 10)}}, 3, share.Known, time.Second)
+	if got, most := a.Amounts["t"]+b.Amounts["t"], 0.5; got > most+1e-9 || got < 0.3 {
 		t.Errorf("got %.2f together, want up to %.2f", got, most)
 	}
-	c, _ := p.Renew(share.Report{VM: "c", Run: 2, Held: held(0, 0, 10)}, 3, share.Known, time.Second)
-	if got := a["t"] + b["t"] + c["t"]; got > 0.5+1e-9 {
+	c := p.Renew(share.Report{VM: "c", Run: 2, Holdings: share.Holdings{Teams: held(0, 0, 10)}}, 3, share.Known, time.Second)
+	if got := a.Amounts["t"] + b.Amounts["t"] + c.Amounts["t"]; got > 0.5+1e-9 {
 		t.Errorf("got %.2f with a VM that held nothing, want at most 0.5", got)
 	}
 }
@@ -57,11 +60,11 @@
 // What a killed process held is free as soon as its successor reports.
 func TestRestartFreesShares(t *testing.T) {
 	var p share.Pool
-	p.Renew(share.Report{VM: "a", Run: 1, Held: held(0, 0, 10)}, 1, share.Whole, time.Second)
-	p.Renew(share.Report{VM: "a", Run: 2, Held: held(0, 0, 0)}, 2, share.Whole, time.Second)
-	got, _ := p.Renew(share.Report{VM: "b", Run: 3, Held: held(0, 0, 10)}, 2, share.Whole, time.Second)
-	if least := 0.3; got["t"] < least {
-		t.Errorf("got %.2f, want at least %.2f", got["t"], least)
+	p.Renew(share.Report{VM: "a", Run: 1, Holdings: share.Holdings{Teams: held(0, 0, 10)}}, 1, share.Whole, time.Second)
+	p.Renew(share.Report{VM: "a", Run: 2, Holdings: share.Holdings{Teams: held(0, 0, 0)}}, 2, share.Whole, time.Second)
+	got := p.Renew(share.Report{VM: "b", Run: 3, Holdings: share.Holdings{Teams: held(0, 0, 10)}}, 2, share.Whole, time.Second)
+	if least := 0.3; got.Amounts["t"] < least {
+		t.Errorf("got %.2f, want at least %.2f", got.Amounts["t"], least)
 	}
 }
 
@@ -84,10 +87,10 @@
 			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
 				*v = vm{run: v.run + 1}
 			}
-			r := share.Report{VM: fmt.Sprint(i), Run: v.run, Seq: v.seq, Held: held(v.amount, max(0, v.until-now), rapid.Float64Range(0, 100).Draw(t, "demand"))}
-			got, seq := p.Renew(r, 3, share.Whole, now)
+			r := share.Report{VM: fmt.Sprint(i), Run: v.run, Holdings: share.Holdings{Seq: v.seq, Teams: held(v.amount, max(0, v.until-now), rapid.Float64Range(0, 100).Draw(t, "demand"))}}
+			got := p.Renew(r, 3, share.Whole, now)
 			if rapid.IntRange(0, 2).Draw(t, "lost") > 0 {
-				v.amount, v.until, v.seq = got["t"], now+share.Life, seq
+				v.amount, v.until, v.seq = got.Amounts["t"], now+share.Life, got.Seq
 			}
 			sum := 0.0
 			for _, v := range vms {
@@ -119,15 +122,15 @@
 			if now%(400*time.Millisecond) == 0 {
 				for i := range buckets {
 					h, seq := buckets[i].Report(now)
-					got, n := p.Renew(share.Report{VM: fmt.Sprint(i), Seq: seq, Held: h}, vms, share.Whole, now)
+					got := p.Renew(share.Report{VM: fmt.Sprint(i), Holdings: share.Holdings{Teams: h, Seq: seq}}, vms, share.Whole, now)
 					if rapid.IntRange(0, 4).Draw(t, "lost") > 0 {
-						buckets[i].Adopt(got, n, limits, now, now)
+						buckets[i].Adopt(got.Amounts, got.Seq, limits, now, now)
 					}
 				}
 			}
 			i := rapid.IntRange(0, vms-1).Draw(t, "vm")
 			for range rapid.IntRange(0, 8).Draw(t, "callers") {
-				if wait, verdict := buckets[i].Admit("t", limit, now); verdict == share.Granted {
+				if wait, verdict := buckets[i].Admit("t", limit, patient, now); verdict == share.Granted {
 					admitted = append(admitted, now+wait)
 				}
 			}
@@ -157,22 +160,22 @@
 	old.Know(limits, 0)
 	renew := func(now time.Duration) float64 {
 		h, seq := old.Report(now)
-		got, n := p.Renew(share.Report{VM: "old", Seq: seq, Held: h}, 1, share.Whole, now)
-		old.Adopt(got, n, limits, now, now)
-		return got["t"]
+		got := p.Renew(share.Report{VM: "old", Holdings: share.Holdings{Teams: h, Seq: seq}}, 1, share.Whole, now)
+		old.Adopt(got.Amounts, got.Seq, limits, now, now)
+		return got.Amounts["t"]
 	}
 	if got := renew(time.Second); got < 0.99 {
 		t.Fatalf("got %.2f for the only keeper, want all", got)
 	}
 	old.Know(nil, 2*time.Second)
 	renew(2 * time.Second)
-	got, _ := p.Renew(share.Report{VM: "new", Held: held(0, 0, 10)}, 1, share.Whole, 2*time.Second)
-	if got["t"] < 0.99 {
-		t.Errorf("got %.2f for the next keeper, want all", got["t"])
+	got := p.Renew(share.Report{VM: "new", Holdings: share.Holdings{Teams: held(0, 0, 10)}}, 1, share.Whole, 2*time.Second)
+	if got.Amounts["t"] < 0.99 {
+		t.Errorf("got %.2f for the next keeper, want all", got.Amounts["t"])
 	}
 	n := 0
 	for {
-		if wait, verdict := old.Admit("t", limit, 2*time.Second); verdict != share.Granted || wait > 0 {
+		if wait, verdict := old.Admit("t", limit, patient, 2*time.Second); verdict != share.Granted || wait > 0 {
 			break
 		}
 		n++
@@ -189,7 +192,7 @@
 	b.Know(limits, 0)
 	b.Adopt(map[string]float64{"t": 1}, 1, limits, 0, 0)
 	for {
-		wait, verdict := b.Admit("t", limit, 0)
+		wait, verdict := b.Admit("t", limit, patient, 0)
 		if verdict != share.Granted {
 			t.Fatal("got a refusal, want a wait first")
 		}
@@ -201,7 +204,7 @@
 		}
 	}
 	for range 1000 {
-		if _, verdict := b.Admit("t", limit, 0); verdict == share.Over {
+		if _, verdict := b.Admit("t", limit, patient, 0); verdict == share.Over {
 			return
 		}
 	}
@@ -214,9 +217,9 @@
 func TestFirstSharesAreEven(t *testing.T) {
 	var p share.Pool
 	for i, demand := range []float64{30, 0, 20} {
-		got, _ := p.Renew(share.Report{VM: fmt.Sprint(i), Run: uint64(i), Held: held(0, 0, demand)}, 3, share.Whole, time.Second)
-		if got["t"] < 0.3 {
-			t.Errorf("VM %d: got %.2f at first, want about a third", i, got["t"])
+		got := p.Renew(share.Report{VM: fmt.Sprint(i), Run: uint64(i), Holdings: share.Holdings{Teams: held(0, 0, demand)}}, 3, share.Whole, time.Second)
+		if got.Amounts["t"] < 0.3 {
+			t.Errorf("VM %d: got %.2f at first, want about a third", i, got.Amounts["t"])
 		}
 	}
 }
@@ -228,7 +231,7 @@
 	start := 5 * time.Second
 	ask := func(b *share.Buckets, now time.Duration) share.Verdict {
 		for range 100 {
-			if _, verdict := b.Admit("t", limit, now); verdict != share.Granted {
+			if _, verdict := b.Admit("t", limit, patient, now); verdict != share.Granted {
 				return verdict
 			}
 		}
@@ -274,15 +277,15 @@
 		{"keeper before", "b", 0.4, 0, 0.1},
 		{"keeper after it", "c", 0, 0, 0},
 	} {
-		got, _ := p.Renew(share.Report{VM: tc.vm, Run: uint64(i + 1), Held: held(tc.amount, tc.left, 10)}, 3, share.Known, time.Second)
-		if got["t"] < tc.least {
-			t.Errorf("%s: got %.2f, want at least %.2f", tc.name, got["t"], tc.least)
+		got := p.Renew(share.Report{VM: tc.vm, Run: uint64(i + 1), Holdings: share.Holdings{Teams: held(tc.amount, tc.left, 10)}}, 3, share.Known, time.Second)
+		if got.Amounts["t"] < tc.least {
+			t.Errorf("%s: got %.2f, want at least %.2f", tc.name, got.Amounts["t"], tc.least)
 		}
 	}
-	p.Renew(share.Report{VM: "b", Run: 2, Held: map[string]share.Holding{"t": {Released: true}}}, 3, share.Known, time.Second)
-	got, _ := p.Renew(share.Report{VM: "c", Run: 3, Held: held(0, 0, 10)}, 3, share.Known, time.Second)
-	if got["t"] < 0.3-1e-9 {
-		t.Errorf("got %.2f of the 0.4 that were given up, want 0.3, a third of the whole that is known", got["t"])
+	p.Renew(share.Report{VM: "b", Run: 2, Holdings: share.Holdings{Teams: map[string]share.Holding{"t": {Released: true}}}}, 3, share.Known, time.Second)
+	got := p.Renew(share.Report{VM: "c", Run: 3, Holdings: share.Holdings{Teams: held(0, 0, 10)}}, 3, share.Known, time.Second)
+	if got.Amounts["t"] < 0.3-1e-9 {
+		t.Errorf("got %.2f of the 0.4 that were given up, want 0.3, a third of the whole that is known", got.Amounts["t"])
 	}
 }
 
@@ -293,10 +296,10 @@
 	var p share.Pool
 	now := time.Second
 	renew := func(vm, zone string, run uint64, amount, demand float64, released bool) float64 {
-		got, _ := p.Renew(share.Report{VM: vm, Zone: zone, Run: run, Held: map[string]share.Holding{
+		got := p.Renew(share.Report{VM: vm, Zone: zone, Run: run, Holdings: share.Holdings{Teams: map[string]share.Holding{
 			"t": {Amount: amount, Left: share.Life, Demand: demand, Released: released},
-		}}, 2, share.Whole, now)
-		return got["t"]
+		}}}, 2, share.Whole, now)
+		return got.Amounts["t"]
 	}
 	renew("a", "north", 1, 0, 30, false)
 	renew("b", "south", 2, 0, 10, false)
@@ -324,8 +327,8 @@
 // cca-pollendoor trouble-3 refused for 3 s what nobody else could have admitted).
 func TestTwoHoldersDivideOneAllowance(t *testing.T) {
 	renew := func(p *share.Pool, vm string, h share.Holding, div share.Division) float64 {
-		got, _ := p.Renew(share.Report{VM: vm, Zone: vm, Held: map[string]share.Holding{"t": h}}, 2, div, time.Second)
-		return got["t"]
+		got := p.Renew(share.Report{VM: vm, Zone: vm, Holdings: share.Holdings{Teams: map[string]share.Holding{"t": h}}}, 2, div, time.Second)
+		return got.Amounts["t"]
 	}
 	for _, tc := range []struct {
 		name string
