--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -16,6 +16,7 @@
 	"github.com/pollendoor/pollendoor"
 	"github.com/pollendoor/pollendoor/clock"
 	"github.com/pollendoor/pollendoor/reign"
+	"github.com/pollendoor/pollendoor/roll"
 	"github.com/pollendoor/pollendoor/sample"
 )
 
@@ -41,6 +42,8 @@
 	promiseAfter = 250 * time.Millisecond
 	// renewPause is the least time between two such questions.
 	renewPause = 700 * time.Millisecond
+	// viewPeriod is the least time between two changes of the list of live VMs.
+	viewPeriod = 100 * time.Millisecond
 	// heardLately is how old a VM's contact with the holder may be to speak
 	// against a takeover.
 	heardLately = 900 * time.Millisecond
@@ -80,9 +83,19 @@
 	signAt    time.Duration            // when it learned of it
 	differs   time.Duration            // since when the holder knows other targets, zero if not
 	renewing  bool
-	fetching  bool // a configuration from another VM
-	recording bool // the record from the holder
-	listing   bool // targets from another VM
+	readWait  time.Duration // how much longer that read may take, as another VM does it
+	led       time.Duration // arrival of the last answer of one of the zone's leads
+	leadTurn  int           // number of the last question to them
+	direct    time.Duration // until then heartbeats do not go through the lead of the zone
+	sample    []roll.Peer   // VMs that are asked for the holder
+	sampled   time.Duration // since when
+	asking    time.Duration // when they were first asked, zero if they have not been
+	fetching  bool          // a configuration from another VM
+	recording bool          // the record from another VM
+	listing   bool          // targets from another VM
+
+	stander stander
+	bundler bundler
 }
 
 func (b *beat) listen() error {
@@ -138,9 +151,14 @@
 	b.forward(p, ips...)
 }
 
-// forward sends a packet as it is. It is encoded once for all.
+// forward sends a packet as it is. It is encoded once for all, and compressed if it is
+// large.
 func (b *beat) forward(p *packet, ips ...string) {
 	raw, err := cbor.Marshal(p)
+	if err == nil && len(raw) > packAbove && p.Kind != packetBundle {
+		b.bundle([]packet{*p}, ips...)
+		return
+	}
 	if err != nil {
 		b.vm.Log.Error().Err(err).Msg("packet not encoded")
 		return
@@ -164,13 +182,15 @@
 	for ctx.Err() == nil {
 		d := b.period(clock.Now())
 		t := time.NewTimer(d - d/8 + rand.N(d/4))
+		woken := false
 		select {
 		case <-ctx.Done():
 		case <-t.C:
 		case <-b.woken:
+			woken = true
 		}
 		t.Stop()
-		b.once(ctx)
+		b.once(ctx, woken)
 	}
 }
 
@@ -188,7 +208,7 @@
 }
 
 // once sends one heartbeat, or acts on the silence of the holder.
-func (b *beat) once(ctx context.Context) {
+func (b *beat) once(ctx context.Context, urgent bool) {
 	v := b.vm
 	r := v.lease.Load().Record
 	now := clock.Now()
@@ -202,7 +222,8 @@
 	b.mu.Unlock()
 	if r.Holder != "" && r.Holder != v.Settings.VM {
 		p := b.heartbeat(&r, now)
-		b.write(p, r.Addr)
+		p.Urgent = urgent
+		b.write(p, b.wayToHolder(&r, silent, now))
 		if silent > relayAfter {
 			b.relays(&r, p)
 		}
@@ -214,7 +235,11 @@
 		b.ask(&r, now)
 	}
 	if r.Member(v.Settings.VM) && r.Holder != v.Settings.VM {
-		b.renew(ctx)
+		if v.reads() {
+			b.renew(ctx)
+		} else {
+			b.askLead(&r)
+		}
 	}
 	if reign.MayClaim(b.sight(&r, silent, now), now) {
 		v.duty.claim(ctx, r.Token)
@@ -237,7 +262,7 @@
 	p.Echo = b.stamp.Echo(r.Token)
 	// An earlier process may have promised something, too.
 	p.Bound = max(0, max(b.noClaim, b.started+reign.PromiseTime)-now)
-	if w := b.wanted.Echo(r.Token); w > 0 && b.storeRead > w && !b.storeOK && now-b.storeRead > promiseAfter && p.Echo > 0 && now-b.answered < selfLeaseAfter {
+	if w := b.wanted.Echo(r.Token); w > 0 && b.storeRead > w && !b.storeOK && now-b.storeRead > promiseAfter+b.readWait && p.Echo > 0 && now-b.answered < selfLeaseAfter {
 		// Neither the holder nor this VM reaches the store.
 		p.Promise = reign.PromiseTime
 		b.noClaim = max(b.noClaim, now+reign.PromiseTime)
@@ -294,8 +319,8 @@
 		}
 		b.answer(p, now)
 	case packetPoke:
-		if p.Record != nil {
-			b.vm.learn(*p.Record, "holder")
+		if p.Step != nil {
+			b.vm.learnStep(p.Step) // otherwise the answer to the heartbeat brings it
 		}
 		b.wake()
 	case packetAsk:
@@ -308,6 +333,12 @@
 		b.write(&packet{Kind: packetTell, Token: b.vm.lease.Load().Record.Token, Echo: p.Stamp, Age: age}, p.From.IP)
 	case packetNews:
 		b.compare(p, now)
+	case packetBundle:
+		b.unbundle(p, now)
+	case packetStands:
+		b.stander.ask(b.vm, p)
+	case packetStood:
+		b.stood(p, now)
 	case packetAdmit:
 		b.vm.rates.asked(p, now)
 	case packetAdmitted:
@@ -322,8 +353,8 @@
 	}
 }
 
-// heartbeatOf answers another VM's heartbeat, or passes it on to the holder for a
-// VM that can't reach it. Its times are those of the two ends.
+// heartbeatOf answers another VM's heartbeat, or passes it on to the holder. Its times
+// are those of the two ends.
 func (b *beat) heartbeatOf(p *packet, now time.Duration) {
 	if a := b.vm.duty.beat(p, now); a != nil {
 		ip := p.From.IP
@@ -333,10 +364,20 @@
 		b.write(a, ip)
 		return
 	}
+	b.passOn(p)
+}
+
+// passOn sends another VM's heartbeat on to the holder, unless it has come through a
+// VM before.
+func (b *beat) passOn(p *packet) {
 	r := b.vm.lease.Load().Record
 	if p.Relay == "" && r.Addr != "" && r.Addr != b.vm.Settings.IP {
 		p.Relay = b.vm.Settings.IP
-		b.forward(p, r.Addr)
+		if len(b.vm.view.Load().Peers) <= smallFleet {
+			b.forward(p, r.Addr)
+		} else {
+			b.bundler.add(b, p)
+		}
 	}
 }
 
@@ -349,13 +390,13 @@
 }
 
 // others returns the live VMs but for this one and the holder.
-func (b *beat) others(holder string) []peer {
-	return slices.DeleteFunc(slices.Clone(b.vm.view.Load().Peers), func(p peer) bool {
+func (b *beat) others(holder string) []roll.Peer {
+	return slices.DeleteFunc(slices.Clone(b.vm.view.Load().Peers), func(p roll.Peer) bool {
 		return p.Name == b.vm.Settings.VM || p.Name == holder
 	})
 }
 
-func addresses(list []peer) []string {
+func addresses(list []roll.Peer) []string {
 	out := make([]string, 0, len(list))
 	for _, p := range list {
 		out = append(out, p.IP)
@@ -370,14 +411,14 @@
 	if p.Token < r.Token || p.Echo > now {
 		return
 	}
-	if p.Record != nil {
-		r = p.Record.Record
+	switch {
+	case p.Record != nil:
 		v.learn(*p.Record, "holder")
-	} else if r.Token != p.Token || r.Version < p.Version {
-		if b.start(&b.recording) {
-			go b.fetchRecord(p.From)
-		}
+	case p.Step != nil && v.learnStep(p.Step):
+	case (r.Token != p.Token || r.Version < p.Version) && b.start(&b.recording):
+		go b.fetchRecord(p.From)
 	}
+	r = v.lease.Load().Record
 	if r.Token != p.Token || r.Version != p.Version {
 		return // it answers for a record that this VM does not have
 	}
@@ -385,6 +426,7 @@
 		v.changeLease(func(l *reign.Lease) bool { return l.Adopt(r, p.Echo, p.Lease) })
 	}
 	b.mu.Lock()
+	b.sample = nil
 	b.answered, b.stamp = now, reign.Stamp{Token: p.Token, At: p.Stamp}
 	b.signed(p.Sign, now)
 	if !p.Want {
@@ -397,8 +439,11 @@
 		b.adopted = p.Echo
 	}
 	b.mu.Unlock()
-	if p.View != nil {
+	switch {
+	case p.View != nil:
 		v.takeView(p.View)
+	case p.Delta != nil:
+		v.applyDelta(p.Delta)
 	}
 	if fresh {
 		v.rates.adopt(p.Token, p.Shares, p.Echo, now)
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -13,6 +13,7 @@
 	"github.com/pollendoor/pollendoor"
 	"github.com/pollendoor/pollendoor/clock"
 	"github.com/pollendoor/pollendoor/reign"
+	"github.com/pollendoor/pollendoor/roll"
 	"github.com/pollendoor/pollendoor/share"
 )
 
@@ -54,8 +55,11 @@
 	object  uint64        // version of the record's object in the store
 	signs   uint64        // number of the last sign that was written
 	signed  time.Duration // when it was sent
-	peers   map[string]peer
-	view    view
+	peers   map[string]roll.Peer
+	book    roll.Book
+	viewed  time.Duration // when the view was last looked at
+	zones   int           // with VMs in the view
+	records reign.History
 	pool    share.Pool
 	members time.Duration // when the members were last changed
 	moves   map[string]bool
@@ -103,8 +107,12 @@
 	d.held, d.object = true, object
 	d.state = reign.Claim(v.Settings.VM, r.Record, next.Record, start, now)
 	d.signs = next.Sign
-	d.peers = map[string]peer{v.Settings.VM: v.self()}
-	d.view = view{Version: next.Token<<32 | 1, Peers: v.view.Load().Peers}
+	d.peers = map[string]roll.Peer{v.Settings.VM: v.self()}
+	d.book.Start(next.Token, *v.view.Load())
+	d.countZones()
+	d.records = reign.History{}
+	d.records.Add(r.Record)
+	d.records.Add(next.Record)
 	d.pool = share.Pool{Reserves: true}
 	d.moves = make(map[string]bool)
 	d.mu.Unlock()
@@ -187,6 +195,7 @@
 	// The VM's own lease first: nobody may believe that it has dropped a primary
 	// that it still uses.
 	d.vm.learn(r, "own write")
+	d.records.Add(r.Record)
 	d.state.Written(r.Record, start, clock.Now())
 	d.mu.Unlock()
 	d.poke()
@@ -243,6 +252,7 @@
 	if r.Version > d.state.Record.Version {
 		// A write whose answer was lost.
 		d.vm.learn(r, "confirm")
+		d.records.Add(r.Record)
 		d.state.Written(r.Record, start, clock.Now())
 	}
 	d.object, d.signs = object, max(d.signs, r.Sign)
@@ -251,30 +261,20 @@
 	return nil
 }
 
-// poke asks all VMs for a heartbeat now.
+// poke tells all VMs what has changed in the record last, and asks them for a
+// heartbeat now.
 func (d *duty) poke() {
 	d.mu.Lock()
-	r := storedRecord{Record: d.state.Record, Run: d.vm.run}
-	d.mu.Unlock()
-	d.tell(r)
-}
-
-// tell sends all VMs a record and asks them for a heartbeat now.
-func (d *duty) tell(r storedRecord) {
-	d.mu.Lock()
+	p := packet{Kind: packetPoke, Token: d.state.Record.Token, Step: d.records.Last()}
 	ips := make(map[string]bool, len(d.peers))
 	for _, p := range d.peers {
 		ips[p.IP] = true
 	}
-	for _, p := range d.view.Peers {
+	for _, p := range d.book.View().Peers {
 		ips[p.IP] = true
 	}
 	d.mu.Unlock()
 	delete(ips, d.vm.Settings.IP)
-	p := packet{Kind: packetPoke, Token: r.Token}
-	if small(&r.Record) {
-		p.Record = &r
-	}
 	d.vm.beat.write(&p, slices.Collect(maps.Keys(ips))...)
 }
 
@@ -292,6 +292,9 @@
 		now := clock.Now()
 		d.mu.Lock()
 		held, due := d.holding(), now-d.state.Confirmed > confirmPeriod
+		if held {
+			d.refreshView(now, false)
+		}
 		unsigned := now-d.signed > signPeriod && len(d.moves) == 0
 		d.mu.Unlock()
 		if !held {
--- a/fleet/flows.go
+++ b/fleet/flows.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/roll"
 )
 
 // flow is a kind of traffic that a VM sends: the datagrams by their packetKind,
@@ -26,6 +27,7 @@
 var flowNames = [flows]string{
 	packetBeat: "beat", packetAnswer: "answer", packetPoke: "poke", packetAsk: "holderAsk", packetTell: "holderTell",
 	packetNews: "news", packetAdmit: "admit", packetAdmitted: "admitted",
+	packetStands: "stands", packetStood: "stood", packetBundle: "bundle",
 	flowWork: "work", flowReply: "reply", flowAsk: "ask", flowConfig: "config", flowTargets: "targets", flowRecord: "record",
 }
 
@@ -44,7 +46,7 @@
 }
 
 // follow takes the distances of the VMs of a view.
-func (t *traffic) follow(peers []peer, distance func(zone string) pollendoor.Distance) {
+func (t *traffic) follow(peers []roll.Peer, distance func(zone string) pollendoor.Distance) {
 	near := make(map[string]pollendoor.Distance, len(peers))
 	if old := t.near.Load(); old != nil && len(*old) < 4*len(peers) {
 		maps.Copy(near, *old) // VMs that have just gone may still be written to
@@ -55,13 +57,22 @@
 	t.near.Store(&near)
 }
 
+// distance returns how far away the VM with an IP is. It reports false if it is not
+// known.
+func (t *traffic) distance(ip string) (pollendoor.Distance, bool) {
+	near := t.near.Load()
+	if near == nil {
+		return 0, false
+	}
+	d, ok := (*near)[ip]
+	return d, ok
+}
+
 // sent counts one message to a VM.
 func (t *traffic) sent(f flow, ip string, bytes int) {
 	reach := reaches - 1
-	if near := t.near.Load(); near != nil {
-		if d, ok := (*near)[ip]; ok {
-			reach = int(d)
-		}
+	if d, ok := t.distance(ip); ok {
+		reach = int(d)
 	}
 	t.messages[f][reach].Add(1)
 	t.bytes[f][reach].Add(int64(bytes))
--- a/fleet/grant.go
+++ b/fleet/grant.go
@@ -6,6 +6,7 @@
 	"github.com/pollendoor/pollendoor"
 	"github.com/pollendoor/pollendoor/clock"
 	"github.com/pollendoor/pollendoor/reign"
+	"github.com/pollendoor/pollendoor/roll"
 	"github.com/pollendoor/pollendoor/sample"
 	"github.com/pollendoor/pollendoor/share"
 )
@@ -28,7 +29,8 @@
 	token := d.state.Record.Token
 	v.rates.adopt(token, d.renew(v.self(), v.run, v.rates.report(token, now), now), now, now)
 	d.refreshView(now, false)
-	v.takeView(&d.view)
+	w := d.book.View()
+	v.takeView(&w)
 	v.beat.contact(now)
 }
 
@@ -46,37 +48,56 @@
 	return share.Whole
 }
 
-// sharers returns how many VMs share a team's rate: one keeper in each zone.
-func (d *duty) sharers() int {
+// renew renews the shares that a VM reports.
+func (d *duty) renew(from roll.Peer, run uint64, held []share.Holdings, now time.Duration) []share.Grants {
+	zones, division := d.sharers(now), d.division(now)
+	out := make([]share.Grants, share.Sources)
+	for s, h := range held {
+		if s < len(out) {
+			r := share.Report{VM: from.Name, Source: share.Source(s), Zone: from.Zone, Run: run, Holdings: h}
+			out[s] = d.pool.Renew(r, zones, division, now)
+		}
+	}
+	return out
+}
+
+// sharers returns how many zones share a team's rate.
+func (d *duty) sharers(now time.Duration) int {
+	if d.state.Claimed+settleTime > now {
+		return max(d.zones, len(d.vm.Settings.Zones)) // just after a claim not all VMs have been heard
+	}
+	return max(1, d.zones)
+}
+
+// countZones counts the zones that have VMs in the view.
+func (d *duty) countZones() {
 	zones := make(map[string]bool)
-	for _, p := range d.view.Peers {
+	for _, p := range d.book.View().Peers {
 		zones[p.Zone] = true
 	}
-	if d.state.Claimed+settleTime > clock.Now() {
-		// Just after a claim not all VMs have been heard.
-		for zone := range d.vm.Settings.Zones {
-			zones[zone] = true
-		}
-	}
-	return len(zones)
+	d.zones = len(zones)
 }
 
 // refreshView follows the VMs that are heard and stay. A new holder keeps the view
 // that it has until the others had time to report; left says that one of them has
-// told that it leaves.
+// told that it leaves. Others come and go together, as one change.
 func (d *duty) refreshView(now time.Duration, left bool) {
-	list := make([]peer, 0, len(d.peers))
-	for _, name := range d.state.Live(now) {
+	if !left && now-d.viewed < viewPeriod {
+		return
+	}
+	d.viewed = now
+	live := d.state.Live(now)
+	list := make([]roll.Peer, 0, len(live))
+	for _, name := range live {
 		if d.stays(name) {
 			list = append(list, d.peers[name])
 		}
 	}
-	same := len(list) == len(d.view.Peers)
-	for i := 0; same && i < len(list); i++ {
-		same = list[i] == d.view.Peers[i]
+	if !left && now <= d.state.Claimed+2*beatPeriod && len(list) <= len(d.book.View().Peers) {
+		return
 	}
-	if !same && (left || now > d.state.Claimed+2*beatPeriod || len(list) > len(d.view.Peers)) {
-		d.view = view{Version: d.view.Version + 1, Peers: list}
+	if d.book.Set(list) {
+		d.countZones()
 	}
 }
 
@@ -90,7 +111,7 @@
 		return nil
 	}
 	r := d.state.Record
-	version := p.Version
+	version, has := p.Version, reign.Edition{Token: p.Token, Version: p.Version}
 	if p.Token != r.Token {
 		// It speaks of an earlier holder's record, clock and shares.
 		version, p.Echo, p.Positions = 0, 0, nil
@@ -99,7 +120,8 @@
 		}
 	}
 	d.state.Heard(reign.Heartbeat{VM: p.From.Name, Version: version, Echo: p.Echo, Promise: p.Promise, Bound: p.Bound, Power: p.Power, Reports: p.Reports}, now)
-	left := p.From.Leaving && d.view.has(p.From.Name)
+	listed := d.book.View()
+	left := p.From.Leaving && listed.Has(p.From.Name)
 	d.peers[p.From.Name] = p.From
 	d.refreshView(now, left)
 	if left {
@@ -111,13 +133,12 @@
 		Sign: d.signs, Relay: p.Relay, To: p.From.IP, Want: now-d.state.Confirmed > wantAfter,
 	}
 	a.Listed, a.Digest = v.targets.State()
-	if version != r.Version && small(&r) {
-		a.Record = &storedRecord{Record: r, Run: v.run}
-	}
-	if p.ViewSeen != d.view.Version {
-		w := d.view
-		a.View = &w
+	if version != r.Version {
+		if a.Step = d.records.Since(has); a.Step == nil && small(&r) {
+			a.Record = &storedRecord{Record: r, Run: v.run}
+		}
 	}
+	a.Delta, a.View = d.book.Since(p.ViewSeen)
 	if c := v.config.Load(); c != nil {
 		a.Config = c.Version
 	}
@@ -144,16 +165,6 @@
 
 func small(r *reign.Record) bool { return len(r.Groups)+len(r.Members) <= smallRecord }
 
-// record returns the record if this VM holds the duty.
-func (d *duty) record() *storedRecord {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if !d.holding() {
-		return nil
-	}
-	return &storedRecord{Record: d.state.Record, Run: d.vm.run}
-}
-
 // shareToken returns the token of the holder whose shares are in use.
 func (v *VM) shareToken() uint64 {
 	v.leaseMu.Lock()
@@ -167,15 +178,25 @@
 	v.shareSeen = t
 }
 
+// applyDelta follows a change of the holder's view. One that starts from another
+// version is left: the next heartbeat tells the holder what this VM has.
+func (v *VM) applyDelta(d *roll.Delta) {
+	if next, ok := v.view.Load().Apply(d); ok {
+		v.takeView(&next)
+	}
+}
+
 // takeView follows the holder's view of the VMs.
-func (v *VM) takeView(w *view) {
+func (v *VM) takeView(w *roll.View) {
 	old := v.view.Load()
 	if old.Version == w.Version {
 		return
 	}
 	n := *w
 	watched := v.watches()
+	leads := n.Leads(v.Settings.Zone, zoneLeads)
 	v.view.Store(&n)
+	v.leads.Store(&leads)
 	v.stats.traffic.follow(n.Peers, v.distance)
 	if watched && !v.watches() {
 		// Another VM watches the store for this zone from now on.
@@ -185,11 +206,27 @@
 	v.rates.configure(max(len(n.Peers), 1))
 	v.rates.know(v.Config())
 	v.homes.refresh()
-	v.beat.viewed(n.has(v.Settings.VM), clock.Now())
+	v.beat.viewed(n.Has(v.Settings.VM), clock.Now())
 	v.beat.wake() // shares have to follow their keepers
-	names := make([]string, 0, len(n.Peers))
-	for _, p := range n.Peers {
-		names = append(names, p.Name)
+	v.logView(old, &n)
+}
+
+// namesLogged bounds the VMs that one log line names.
+const namesLogged = 12
+
+// logView logs what a new view changes.
+func (v *VM) logView(old, w *roll.View) {
+	var joined, gone []string
+	for _, p := range w.Peers {
+		if !old.Has(p.Name) && len(joined) < namesLogged {
+			joined = append(joined, p.Name)
+		}
+	}
+	for _, p := range old.Peers {
+		if !w.Has(p.Name) && len(gone) < namesLogged {
+			gone = append(gone, p.Name)
+		}
 	}
-	v.Log.Info().Strs("vms", names).Uint64("version", n.Version).Msg("live VMs changed")
+	v.Log.Info().Int("vms", len(w.Peers)).Strs("joined", joined).Strs("gone", gone).
+		Uint64("version", w.Version).Uint64("before", old.Version).Msg("live VMs changed")
 }
--- a/fleet/homes.go
+++ b/fleet/homes.go
@@ -12,6 +12,7 @@
 	"github.com/pollendoor/pollendoor"
 	"github.com/pollendoor/pollendoor/broker"
 	"github.com/pollendoor/pollendoor/clock"
+	"github.com/pollendoor/pollendoor/roll"
 )
 
 const (
@@ -44,8 +45,8 @@
 	mu      sync.Mutex
 	brokers map[string]*broker.Broker // by target
 	avoid   map[string]time.Duration  // VMs that were not reached, until when
-	orders  map[place][]peer          // for the view in ordered
-	ordered *view
+	orders  map[place][]roll.Peer     // for the view in ordered
+	ordered *roll.View
 	delays  map[string]delayHint // by target
 }
 
@@ -60,9 +61,9 @@
 
 // order returns the VMs through which a target is reached, the home first: the
 // VMs of the target's zone by rendezvous hashing, then this VM, then others.
-func order(v *view, self peer, t pollendoor.TargetInfo) []peer {
+func order(v *roll.View, self roll.Peer, t pollendoor.TargetInfo) []roll.Peer {
 	type scored struct {
-		peer
+		roll.Peer
 		class int
 		score uint64
 	}
@@ -83,10 +84,10 @@
 		}
 		return cmp.Compare(b.score, a.score)
 	})
-	out := make([]peer, 0, homesTried+1)
+	out := make([]roll.Peer, 0, homesTried+1)
 	for _, s := range list {
 		if len(out) <= homesTried {
-			out = append(out, s.peer)
+			out = append(out, s.Peer)
 		}
 	}
 	return out
@@ -94,9 +95,9 @@
 
 // order returns the VMs through which a target is reached. It is worked out once
 // for each view of the VMs. The caller holds mu.
-func (h *homes) order(t pollendoor.TargetInfo) []peer {
+func (h *homes) order(t pollendoor.TargetInfo) []roll.Peer {
 	if v := h.vm.view.Load(); v != h.ordered {
-		h.ordered, h.orders = v, make(map[place][]peer)
+		h.ordered, h.orders = v, make(map[place][]roll.Peer)
 	}
 	key := place{t.ID, t.Zone}
 	list, ok := h.orders[key]
@@ -108,14 +109,14 @@
 }
 
 // choose returns the VMs to offer a statement to, without those avoided.
-func (h *homes) choose(t pollendoor.TargetInfo) []peer {
+func (h *homes) choose(t pollendoor.TargetInfo) []roll.Peer {
 	now := clock.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	list := h.order(t)
-	out := slices.DeleteFunc(slices.Clone(list), func(p peer) bool { return now < h.avoid[p.Name] })
+	out := slices.DeleteFunc(slices.Clone(list), func(p roll.Peer) bool { return now < h.avoid[p.Name] })
 	if len(out) == 0 {
-		return []peer{h.vm.self()}
+		return []roll.Peer{h.vm.self()}
 	}
 	return out
 }
--- a/fleet/lanes.go
+++ b/fleet/lanes.go
@@ -14,6 +14,7 @@
 
 	"github.com/pollendoor/pollendoor"
 	"github.com/pollendoor/pollendoor/dial"
+	"github.com/pollendoor/pollendoor/roll"
 )
 
 const (
@@ -45,9 +46,9 @@
 // result is the answer to a call.
 type result struct {
 	Reply   *pollendoor.Reply       `cbor:"1,keyasint,omitempty"`
-	Config  []byte                  `cbor:"2,keyasint,omitempty"`
+	Config  []byte                  `cbor:"2,keyasint,omitempty"` // compressed
 	Targets []pollendoor.TargetInfo `cbor:"3,keyasint,omitempty"`
-	Record  *storedRecord           `cbor:"4,keyasint,omitempty"` // of a holder
+	Record  *storedRecord           `cbor:"4,keyasint,omitempty"` // the newest that the VM knows
 	Listed  uint64                  `cbor:"5,keyasint,omitempty"` // revision of the targets
 }
 
@@ -97,7 +98,7 @@
 }
 
 // take returns a lane to another VM.
-func (s *lanes) take(p peer) (*lane, error) {
+func (s *lanes) take(p roll.Peer) (*lane, error) {
 	for l := s.pop(p.Name); l != nil; l = s.pop(p.Name) {
 		if dial.Alive(l.conn) {
 			return l, nil
@@ -236,14 +237,17 @@
 			out.Reply, answer = &r, flowReply
 		case in.Config:
 			if v := s.vm.config.Load(); v != nil {
-				out.Config = v.raw
+				var err error
+				if out.Config, err = v.packed(); err != nil {
+					s.vm.Log.Error().Err(err).Msg("configuration not sent to another VM")
+				}
 			}
 			answer = flowConfig
 		case in.Targets:
 			out.Targets, out.Listed = s.vm.targets.Listed()
 			answer = flowTargets
 		case in.Record:
-			out.Record, answer = s.vm.duty.record(), flowRecord
+			out.Record, answer = &storedRecord{Record: s.vm.lease.Load().Record}, flowRecord
 		default:
 			s.finish(&current)
 			continue
@@ -282,7 +286,7 @@
 }
 
 // ask asks another VM a question beside the work.
-func (s *lanes) ask(p peer, c call) (result, error) {
+func (s *lanes) ask(p roll.Peer, c call) (result, error) {
 	l, err := s.take(p)
 	if err != nil {
 		return result{}, err
--- a/fleet/leave.go
+++ b/fleet/leave.go
@@ -76,7 +76,10 @@
 	}
 	d.vm.Log.Info().Str("to", to).Uint64("version", r.Version).Msg("duty handed over")
 	d.vm.learn(r, "own write")
-	d.tell(r)
+	d.mu.Lock()
+	d.records.Add(r.Record)
+	d.mu.Unlock()
+	d.poke()
 	return nil
 }
 
--- a/fleet/news.go
+++ b/fleet/news.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pollendoor/pollendoor/clock"
+	"github.com/pollendoor/pollendoor/pack"
+	"github.com/pollendoor/pollendoor/roll"
 )
 
 // listPause is the least time between two lists of the targets that a VM fetches
@@ -53,38 +55,55 @@
 	*busy = false
 }
 
-// sources returns the VMs to catch up from: the zone's watcher, which costs
-// nothing, and the one that is known to be ahead.
-func (b *beat) sources(from peer) []peer {
-	list := []peer{from}
-	if w, ok := watcherOf(b.vm.view.Load(), b.vm.Settings.Zone); ok && w != from && w != b.vm.self() {
-		list = []peer{w, from}
+// leadPause is how long a VM waits for the lead of its zone to learn something, before
+// it asks again.
+const leadPause = 120 * time.Millisecond
+
+// maxConfig bounds a configuration of another VM, in bytes.
+const maxConfig = 8 << 20
+
+// sources returns the VMs to catch up from: the lead of the zone, which costs least
+// and learns of the same, several times, and the VM that is known to be ahead.
+func (b *beat) sources(from roll.Peer) []roll.Peer {
+	list := []roll.Peer{from}
+	if leads := *b.vm.leads.Load(); len(leads) > 0 && leads[0].Name != from.Name && leads[0].Name != b.vm.Settings.VM {
+		list = []roll.Peer{leads[0], leads[0], leads[0], from}
 	}
 	return list
 }
 
 // catchUpConfig takes a configuration over from another VM.
-func (b *beat) catchUpConfig(from peer, version uint64) {
+func (b *beat) catchUpConfig(from roll.Peer, version uint64) {
 	defer b.done(&b.fetching)
 	v := b.vm
 	if v.watches() {
 		time.Sleep(configPatience)
 	}
-	for _, p := range b.sources(from) {
+	for i, p := range b.sources(from) {
+		if i > 0 {
+			time.Sleep(leadPause)
+		}
 		if c := v.config.Load(); c != nil && c.Version >= version {
 			return
 		}
 		r, err := v.lanes.ask(p, call{Config: true})
-		if err != nil || r.Config == nil {
+		if err == nil && r.Config == nil {
+			continue // it has none yet
+		}
+		var raw []byte
+		if err == nil {
+			raw, err = pack.Inflate(r.Config, maxConfig)
+		}
+		if err != nil {
 			v.Log.Warn().Err(err).Str("peer", p.Name).Msg("configuration not fetched from another VM")
 			continue
 		}
-		v.takeConfig(r.Config, p.Name)
+		v.takeConfig(raw, p.Name)
 	}
 }
 
 // catchUpTargets takes the targets with a digest over from another VM.
-func (b *beat) catchUpTargets(from peer, digest uint64) {
+func (b *beat) catchUpTargets(from roll.Peer, digest uint64) {
 	defer func() {
 		time.Sleep(listPause)
 		b.done(&b.listing)
@@ -92,12 +111,18 @@
 	list := b.sources(from)
 	b.mu.Lock()
 	if b.differs > 0 && clock.Now()-b.differs > differPatience {
-		list = []peer{from} // the watcher does not know them either
+		list = []roll.Peer{from} // the watcher does not know them either
 	}
 	b.mu.Unlock()
-	for _, p := range list {
+	for i, p := range list {
+		if i > 0 {
+			time.Sleep(leadPause)
+		}
 		r, err := b.vm.lanes.ask(p, call{Targets: true})
-		if err != nil || len(r.Targets) == 0 {
+		if err == nil && len(r.Targets) == 0 {
+			continue // it knows none yet
+		}
+		if err != nil {
 			b.vm.Log.Warn().Err(err).Str("peer", p.Name).Msg("targets not fetched from another VM")
 			continue
 		}
@@ -119,16 +144,16 @@
 	if c := v.config.Load(); c != nil {
 		p.Config = c.Version
 	}
-	near := slices.DeleteFunc(b.others(""), func(o peer) bool { return o.Zone != v.Settings.Zone })
+	near := slices.DeleteFunc(b.others(""), func(o roll.Peer) bool { return o.Zone != v.Settings.Zone })
 	b.write(p, addresses(near)...)
 }
 
-// fetchRecord takes a record over from the holder that is too large for a datagram.
-func (b *beat) fetchRecord(from peer) {
+// fetchRecord takes a record over from a VM that has a newer one.
+func (b *beat) fetchRecord(from roll.Peer) {
 	defer b.done(&b.recording)
 	r, err := b.vm.lanes.ask(from, call{Record: true})
 	if err != nil || r.Record == nil {
-		b.vm.Log.Warn().Err(err).Str("peer", from.Name).Msg("record not fetched from the holder")
+		b.vm.Log.Warn().Err(err).Str("peer", from.Name).Msg("record not fetched from another VM")
 		return
 	}
 	b.vm.learn(*r.Record, "holder") // which sends a heartbeat, for the lease on it
--- a/fleet/packet.go
+++ b/fleet/packet.go
@@ -5,6 +5,7 @@
 
 	"github.com/pollendoor/pollendoor"
 	"github.com/pollendoor/pollendoor/reign"
+	"github.com/pollendoor/pollendoor/roll"
 	"github.com/pollendoor/pollendoor/share"
 )
 
@@ -20,6 +21,9 @@
 	packetNews                           // a zone's watcher has learned something
 	packetAdmit                          // a VM asks the keeper of a team's rate for an operation
 	packetAdmitted                       // its answer
+	packetStands                         // a VM asks a lead of its zone whether the record stands
+	packetStood                          // its answer
+	packetBundle                         // heartbeats, or their answers, through the lead of a zone
 	packetKinds                          // their number
 )
 
@@ -35,7 +39,7 @@
 // packet is a datagram between VMs.
 type packet struct {
 	Kind  packetKind    `cbor:"1,keyasint"`
-	From  peer          `cbor:"2,keyasint"`
+	From  roll.Peer     `cbor:"2,keyasint"`
 	Token uint64        `cbor:"3,keyasint,omitempty"`
 	Stamp time.Duration `cbor:"4,keyasint,omitempty"` // sender's clock
 	Echo  time.Duration `cbor:"5,keyasint,omitempty"` // Stamp of the packet answered, or last received
@@ -48,13 +52,16 @@
 	ViewSeen uint64                  `cbor:"11,keyasint,omitempty"`
 	Power    float64                 `cbor:"25,keyasint,omitempty"` // share of a core
 	Wants    []string                `cbor:"31,keyasint,omitempty"` // groups whose positions its reads need
+	Urgent   bool                    `cbor:"41,keyasint,omitempty"` // the holder waits for it
 	Bound    time.Duration           `cbor:"29,keyasint,omitempty"` // left of a promise that may have been given
 	Run      uint64                  `cbor:"21,keyasint,omitempty"` // identifies the process
 
 	// Of an answer.
 	Lease  time.Duration  `cbor:"12,keyasint,omitempty"`
-	Record *storedRecord  `cbor:"13,keyasint,omitempty"` // if Version is not the newest, and it is small
-	View   *view          `cbor:"14,keyasint,omitempty"` // if ViewSeen is not the newest
+	Record *storedRecord  `cbor:"13,keyasint,omitempty"` // if Version is not the newest, there is no step, and it is small
+	Step   *reign.Step    `cbor:"38,keyasint,omitempty"` // from Version to the newest
+	View   *roll.View     `cbor:"14,keyasint,omitempty"` // if ViewSeen is not the newest and there is no delta
+	Delta  *roll.Delta    `cbor:"39,keyasint,omitempty"` // from ViewSeen to the newest
 	Shares []share.Grants `cbor:"37,keyasint,omitempty"` // by source
 	Digest uint64         `cbor:"20,keyasint,omitempty"` // of the sender's targets
 	Listed uint64         `cbor:"32,keyasint,omitempty"` // revision up to which it knows them
@@ -65,6 +72,8 @@
 	Positions map[string]position `cbor:"17,keyasint,omitempty"` // of primaries, by group
 	Relay     string              `cbor:"22,keyasint,omitempty"` // VM's IP through which a heartbeat came
 	To        string              `cbor:"23,keyasint,omitempty"` // VM's IP that an answer is for
+	Packed    []byte              `cbor:"42,keyasint,omitempty"` // of a bundle: packets, compressed
+	Stood     bool                `cbor:"40,keyasint,omitempty"` // the record has been read, and is Version
 	Age       time.Duration       `cbor:"18,keyasint,omitempty"` // of a tell: since the holder answered
 
 	// Of a question to the keeper of a team's rate, and its answer.
--- a/fleet/rates.go
+++ b/fleet/rates.go
@@ -9,6 +9,7 @@
 
 	"github.com/pollendoor/pollendoor"
 	"github.com/pollendoor/pollendoor/clock"
+	"github.com/pollendoor/pollendoor/roll"
 	"github.com/pollendoor/pollendoor/share"
 )
 
@@ -45,14 +46,14 @@
 	pending map[uint64]chan packet
 	avoid   map[string]time.Duration // keepers that did not answer, until when
 	seats   map[string]keepers       // by team, for the view in seated
-	seated  *view
+	seated  *roll.View
 	hashes  []uint64 // of the names of the view's VMs
 }
 
 // keepers are the VMs that keep a team's rate, as one VM sees it.
 type keepers struct {
-	zone    []peer // of this VM's zone, the first one that answers
-	reserve peer
+	zone    []roll.Peer // of this VM's zone, the first one that answers
+	reserve roll.Peer
 }
 
 // of returns a team's keepers. They are worked out once for each view of the VMs.
@@ -76,7 +77,7 @@
 
 // seat chooses a team's keepers by rendezvous hashing. Hashes are those of the
 // peers' names.
-func seat(peers []peer, hashes []uint64, zone, team string) keepers {
+func seat(peers []roll.Peer, hashes []uint64, zone, team string) keepers {
 	var pair [16]byte
 	binary.LittleEndian.PutUint64(pair[8:], xxhash.Sum64String(team))
 	var k keepers
@@ -101,7 +102,7 @@
 			continue
 		}
 		if len(k.zone) < keepersKnown {
-			k.zone = append(k.zone, peer{})
+			k.zone = append(k.zone, roll.Peer{})
 		}
 		copy(k.zone[at+1:], k.zone[at:])
 		copy(scores[at+1:], scores[at:])
@@ -112,7 +113,7 @@
 
 // keeperOf returns the VM to ask for a team's operation, of those that are not
 // passed over. It reports false if there is none.
-func (r *rates) keeperOf(team string, s share.Source, now time.Duration) (peer, bool) {
+func (r *rates) keeperOf(team string, s share.Source, now time.Duration) (roll.Peer, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	k := r.of(team)
@@ -192,7 +193,7 @@
 }
 
 // ask asks a keeper for one operation.
-func (r *rates) ask(k peer, team string, q share.Question) (packet, bool) {
+func (r *rates) ask(k roll.Peer, team string, q share.Question) (packet, bool) {
 	ch := make(chan packet, 1)
 	r.mu.Lock()
 	r.next++
@@ -308,15 +309,3 @@
 		r.buckets[s].Adopt(g.Amounts, g.Seq, c.Teams, sent, now)
 	}
 }
-
-// renew renews the shares that a VM reports. The caller holds mu.
-func (d *duty) renew(from peer, run uint64, held []share.Holdings, now time.Duration) []share.Grants {
-	out := make([]share.Grants, share.Sources)
-	for s, h := range held {
-		if s < len(out) {
-			r := share.Report{VM: from.Name, Source: share.Source(s), Zone: from.Zone, Run: run, Holdings: h}
-			out[s] = d.pool.Renew(r, d.sharers(), d.division(now), now)
-		}
-	}
-	return out
-}
--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -25,6 +25,8 @@
 	MemoryMB int64   `yaml:"memoryMB"` // limit of the process
 	CPU      float64 `yaml:"cpu"`      // share of a core that this VM has
 	LogLevel string  `yaml:"logLevel"` // debug, info, warn or error
+	// Bootstrap says that the whole fleet starts for the first time.
+	Bootstrap bool `yaml:"bootstrap"`
 
 	// Zones gives the region of each availability zone.
 	Zones map[string]string `yaml:"zones"`
--- a/fleet/takeover.go
+++ b/fleet/takeover.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pollendoor/pollendoor/clock"
 	"github.com/pollendoor/pollendoor/reign"
+	"github.com/pollendoor/pollendoor/roll"
 )
 
 // tell is another VM's word on the holder.
@@ -15,25 +18,66 @@
 	age   time.Duration
 }
 
-// ask asks the other VMs whether they hear the holder.
+const (
+	// askedMembers is the number of first members that are asked for the holder, and
+	// askedOthers that of other VMs: a sample tells whether this VM is cut off.
+	askedMembers = 12
+	askedOthers  = 12
+	// sampleLife is how long a VM asks the same ones.
+	sampleLife = 10 * time.Second
+	// muteAfter is how long a VM has to answer before it counts as silent: several
+	// round trips between regions.
+	muteAfter = 250 * time.Millisecond
+)
+
+// asked returns the VMs to ask for the holder. The caller holds mu.
+func (b *beat) asked(r *reign.Record, now time.Duration) []roll.Peer {
+	if len(b.sample) > 0 && now-b.sampled < sampleLife {
+		return b.sample
+	}
+	first := r.Members[:min(askedMembers, len(r.Members))]
+	var list, rest []roll.Peer
+	for _, p := range b.others(r.Holder) {
+		if slices.Contains(first, p.Name) {
+			list = append(list, p)
+		} else {
+			rest = append(rest, p)
+		}
+	}
+	rand.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	b.sample, b.sampled, b.asking = append(list, rest[:min(len(rest), askedOthers)]...), now, 0
+	return b.sample
+}
+
+// ask asks other VMs whether they hear the holder.
 func (b *beat) ask(r *reign.Record, now time.Duration) {
-	b.write(&packet{Kind: packetAsk, Token: r.Token, Stamp: now}, addresses(b.others(r.Holder))...)
+	b.mu.Lock()
+	list := addresses(b.asked(r, now))
+	if b.asking == 0 {
+		b.asking = now
+	}
+	b.mu.Unlock()
+	b.write(&packet{Kind: packetAsk, Token: r.Token, Stamp: now}, list...)
 }
 
 // sight is what the decision on a takeover needs.
 func (b *beat) sight(r *reign.Record, silent, now time.Duration) reign.Sight {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := reign.Sight{Self: b.vm.Settings.VM, Power: b.vm.Settings.CPU, Record: *r, Silent: silent, NoClaim: b.noClaim}
+	s := reign.Sight{
+		Self: b.vm.Settings.VM, Power: b.vm.Settings.CPU, Record: *r, Silent: silent, NoClaim: b.noClaim,
+		Mute: make(map[string]bool),
+	}
 	s.Store, s.StoreFor = b.storeOK && now-b.storeRead < tellAge, now-b.storeFrom
 	s.Sign = now - b.signAt
 	if w := b.wanted.Echo(r.Token); w > 0 {
 		s.Without = now - w
 	}
-	for _, p := range b.others(r.Holder) {
+	for _, p := range b.asked(r, now) {
 		s.Others++
 		t, ok := b.told[p.Name]
 		if !ok || now-t.at > tellAge {
+			s.Mute[p.Name] = b.asking > 0 && now-b.asking > muteAfter
 			continue
 		}
 		s.Answered++
@@ -58,16 +102,12 @@
 		v := b.vm
 		sent := clock.Now()
 		b.mu.Lock()
-		b.storeRead, b.storeOK = sent, false
+		b.storeRead, b.storeOK, b.readWait = sent, false, 0
 		b.mu.Unlock()
 		o, err := v.Platform.Store.Get(ctx, recordName)
 		b.mu.Lock()
-		b.renewing, b.storeOK = false, err == nil
-		if err != nil {
-			b.storeFrom = 0
-		} else if b.storeFrom == 0 || sent-b.storeFrom > storeSeries {
-			b.storeFrom = sent
-		}
+		b.renewing = false
+		b.read(sent, err == nil)
 		b.mu.Unlock()
 		if err != nil {
 			v.stats.StoreErrors.Add(1)
@@ -83,9 +123,7 @@
 		b.signed(r.Sign, clock.Now())
 		b.mu.Unlock()
 		v.learn(r, "own read")
-		if r.Member(v.Settings.VM) {
-			v.changeLease(func(l *reign.Lease) bool { return l.Adopt(r.Record, sent, reign.LeaseTime-reign.ClockSlack) })
-		}
+		b.adoptRead(&r.Record, sent)
 	}()
 }
 
@@ -93,14 +131,14 @@
 func (b *beat) newHolder(now time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.answered, b.changed = now, now
+	b.answered, b.changed, b.sample = now, now, nil
 }
 
 // contact notes that the holder is there.
 func (b *beat) contact(now time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.answered = now
+	b.answered, b.sample = now, nil
 }
 
 // silent reports whether the holder has not answered for a while.
--- a/fleet/vm.go
+++ b/fleet/vm.go
@@ -8,7 +8,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -20,6 +19,7 @@
 	"github.com/pollendoor/pollendoor"
 	"github.com/pollendoor/pollendoor/clock"
 	"github.com/pollendoor/pollendoor/reign"
+	"github.com/pollendoor/pollendoor/roll"
 	"github.com/pollendoor/pollendoor/roster"
 	"github.com/pollendoor/pollendoor/sample"
 )
@@ -69,9 +69,10 @@
 	leaseMu sync.Mutex
 	lease   atomic.Pointer[reign.Lease]
 
-	view  atomic.Pointer[view]
-	rings sync.Map // *sample.Ring by group
-	used  sync.Map // when a read last asked for a group's positions, by group
+	view  atomic.Pointer[roll.View]
+	leads atomic.Pointer[[]roll.Peer] // of this VM's zone: they read the store for it
+	rings sync.Map                    // *sample.Ring by group
+	used  sync.Map                    // when a read last asked for a group's positions, by group
 
 	asked int      // of the groups in used, the one that was asked for last; of the sender of heartbeats
 	fates sync.Map // *fate by group
@@ -84,31 +85,11 @@
 // configVersion is a configuration with its text, for other VMs.
 type configVersion struct {
 	*pollendoor.Config
-	raw []byte
+	packed func() ([]byte, error)
 }
 
-// peer is another VM as the duty holder knows it.
-type peer struct {
-	Name string `cbor:"1,keyasint"`
-	Zone string `cbor:"2,keyasint"`
-	IP   string `cbor:"3,keyasint"`
-	// Leaving says that the VM is about to stop: others take its part over.
-	Leaving bool `cbor:"4,keyasint,omitempty"`
-}
-
-// view is the live VMs. Version grows with each change by one holder.
-type view struct {
-	Version uint64 `cbor:"1,keyasint"`
-	Peers   []peer `cbor:"2,keyasint"`
-}
-
-// has reports whether a VM is in the view.
-func (w *view) has(vm string) bool {
-	return slices.ContainsFunc(w.Peers, func(p peer) bool { return p.Name == vm })
-}
-
-func (v *VM) self() peer {
-	return peer{Name: v.Settings.VM, Zone: v.Settings.Zone, IP: v.Settings.IP, Leaving: v.leaving.Load()}
+func (v *VM) self() roll.Peer {
+	return roll.Peer{Name: v.Settings.VM, Zone: v.Settings.Zone, IP: v.Settings.IP, Leaving: v.leaving.Load()}
 }
 
 func (v *VM) addr(ip string) string { return net.JoinHostPort(ip, strconv.Itoa(v.Settings.PeerPort)) }
@@ -117,7 +98,8 @@
 func (v *VM) Run(ctx context.Context) error {
 	v.run = rand.Uint64()
 	v.lease.Store(&reign.Lease{})
-	v.view.Store(&view{Peers: []peer{v.self()}})
+	v.view.Store(&roll.View{Peers: []roll.Peer{v.self()}})
+	v.leads.Store(&[]roll.Peer{})
 	v.homes.vm = v
 	v.lanes.vm = v
 	v.duty.vm = v
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -7,11 +7,11 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/pollendoor/pollendoor"
 	"github.com/pollendoor/pollendoor/clock"
+	"github.com/pollendoor/pollendoor/pack"
 	"github.com/pollendoor/pollendoor/reign"
 	"github.com/pollendoor/pollendoor/roster"
 )
@@ -27,6 +27,12 @@
 	retryPause = 400 * time.Millisecond
 	// watcherPoll is how often a VM looks whether it has become its zone's watcher.
 	watcherPoll = 200 * time.Millisecond
+	// watchPause is the least time between two answers of a watch: changes often come
+	// together, and each answer is a call.
+	watchPause = 200 * time.Millisecond
+	// bootDelay is how long a VM without any power waits before it looks for the
+	// record when the whole fleet starts for the first time.
+	bootDelay = time.Second
 	// recordName is where the fleet keeps its record.
 	recordName = "fleet/record"
 )
@@ -36,6 +42,7 @@
 	kind   string
 	list   func(all []pollendoor.Object, revision uint64)     // gets the whole
 	change func(changed []pollendoor.Object, revision uint64) // gets what has changed since, up to a revision
+	known  func() bool                                        // whether this VM has got it
 
 	mu    sync.Mutex
 	stale context.CancelFunc // ends the waiting watch
@@ -63,6 +70,7 @@
 // follow lists a kind, and watches it while this VM is its zone's watcher.
 func (v *VM) follow(ctx context.Context, f *follower) {
 	lost, listed := false, false
+	listed = v.firstList(ctx, f.known)
 	for ctx.Err() == nil {
 		if listed && !v.watches() {
 			pollendoor.Pause(ctx, watcherPoll)
@@ -81,6 +89,7 @@
 			events, revision, err = f.watch(ctx, v.Platform.Store, revision)
 			if err == nil {
 				f.change(events, revision)
+				pollendoor.Pause(ctx, watchPause)
 			}
 		}
 		switch {
@@ -102,29 +111,16 @@
 }
 
 // watches reports whether this VM watches the store for its zone, or has to since
-// it hears nothing from the duty holder. The others hear from it.
+// it does not hear the duty holder. The others hear from it.
 func (v *VM) watches() bool {
 	w := v.view.Load()
 	if w.Version == 0 {
 		return false // too early to tell
 	}
 	if v.beat.silent() {
-		return true
+		return v.reads()
 	}
-	first, ok := watcherOf(w, v.Settings.Zone)
-	return ok && first.Name == v.Settings.VM
-}
-
-// watcherOf returns the VM that watches the store for a zone.
-func watcherOf(w *view, zone string) (peer, bool) {
-	var best peer
-	var score uint64
-	for _, p := range w.Peers {
-		if s := xxhash.Sum64String("watch/" + p.Name); p.Zone == zone && (best.Name == "" || s > score) {
-			best, score = p, s
-		}
-	}
-	return best, best.Name != ""
+	return v.leadOf() == 0
 }
 
 func (v *VM) watchConfig(ctx context.Context) {
@@ -139,7 +135,7 @@
 			v.configObject(o)
 		}
 	}
-	return follower{kind: v.Platform.ConfigKind, change: take, list: take}
+	return follower{kind: v.Platform.ConfigKind, change: take, list: take, known: func() bool { return v.config.Load() != nil }}
 }
 
 // readConfig asks the store for the configuration. A watch may miss a change for
@@ -173,7 +169,7 @@
 		if old != nil && old.Version >= c.Version {
 			return
 		}
-		if v.config.CompareAndSwap(old, &configVersion{Config: c, raw: raw}) {
+		if v.config.CompareAndSwap(old, &configVersion{Config: c, packed: sync.OnceValues(func() ([]byte, error) { return pack.Deflate(raw) })}) {
 			break
 		}
 	}
@@ -205,7 +201,10 @@
 
 // targetsFollower returns the follower of the targets' entries.
 func (v *VM) targetsFollower() follower {
-	return follower{kind: v.Platform.TargetsKind, list: v.listTargets, change: v.changeTargets}
+	return follower{
+		kind: v.Platform.TargetsKind, list: v.listTargets, change: v.changeTargets,
+		known: func() bool { return v.targets.Len() > 0 },
+	}
 }
 
 // readTargets asks the store for all entries, as readConfig does.
@@ -286,6 +285,10 @@
 // findRecord looks the record up in the store when the VM starts. Later versions
 // come from the duty holder.
 func (v *VM) findRecord(ctx context.Context) {
+	if v.Settings.Bootstrap {
+		// The most powerful VMs write it first; the others find it.
+		pollendoor.Pause(ctx, time.Duration((1-min(1, v.Settings.CPU))*float64(bootDelay)))
+	}
 	for ctx.Err() == nil {
 		_, r, err := v.duty.read(ctx)
 		if err == nil {
@@ -324,6 +327,17 @@
 	v.beat.wake()
 }
 
+// learnStep takes a step from the record that this VM has. It reports false if the
+// step starts from another one.
+func (v *VM) learnStep(s *reign.Step) bool {
+	old := v.lease.Load().Record
+	next, ok := old.Step(s)
+	if ok {
+		v.learn(storedRecord{Record: next}, "holder")
+	}
+	return ok
+}
+
 // recordChanged logs what a new record changes.
 func (v *VM) recordChanged(old, r reign.Record, source string) {
 	if old.Token != r.Token {
@@ -344,7 +358,7 @@
 func (v *VM) pollStore(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
 		pollendoor.Pause(ctx, configPoll)
-		if !v.duty.holds() && !v.beat.silent() {
+		if !v.duty.holds() && (!v.beat.silent() || !v.reads()) {
 			continue
 		}
 		v.readConfig(ctx)
--- a/reign/duty.go
+++ b/reign/duty.go
@@ -59,8 +59,10 @@
 	relieved  time.Duration // when it was known to grant none any longer, zero if it is not
 	cleared   time.Duration // when no lease of an earlier holder was left, zero while one may be
 	members   map[string]*member
-	intents   map[string]time.Duration // when a group's move was written
-	changed   map[string]uint64        // version of the record that moved it
+	reporters map[string]map[string]bool // VMs that report on a group's primary
+	bounds    map[*string]bounds         // of the lists of members that count, by their first element
+	intents   map[string]time.Duration   // when a group's move was written
+	changed   map[string]uint64          // version of the record that moved it
 }
 
 // Heartbeat is what a VM tells the holder.
@@ -84,13 +86,27 @@
 		m = &member{}
 		d.members[b.VM] = m
 	}
+	for group := range m.reports {
+		if _, ok := b.Reports[group]; !ok {
+			delete(d.reporters[group], b.VM)
+		}
+	}
+	for group := range b.Reports {
+		if d.reporters == nil {
+			d.reporters = make(map[string]map[string]bool)
+		}
+		if d.reporters[group] == nil {
+			d.reporters[group] = make(map[string]bool)
+		}
+		d.reporters[group][b.VM] = true
+	}
 	m.heard, m.version, m.reports, m.power = now, b.Version, b.Reports, b.Power
 	m.bound = now + b.Bound
 	if b.VM == d.former && b.Version > 0 && d.relieved == 0 {
 		d.relieved = now
 	}
-	if b.Echo > 0 && b.Echo <= now {
-		m.promised = max(m.promised, b.Echo+b.Promise)
+	if until := b.Echo + b.Promise; b.Promise > 0 && b.Echo > 0 && b.Echo <= now && until > m.promised {
+		m.promised, d.bounds = until, nil
 	}
 }
 
@@ -115,7 +131,7 @@
 // Lease returns how long a lease may be granted now, counted from when its
 // request was sent; zero for none.
 func (d *Duty) Lease(vm string, now time.Duration) time.Duration {
-	if !d.Record.Member(vm) || d.proposed != nil && !slices.Contains(d.proposed, vm) {
+	if !d.bound(d.Record.Members).names[vm] || d.proposed != nil && !d.bound(d.proposed).names[vm] {
 		return 0
 	}
 	until := max(d.Confirmed+LeaseTime, d.promisedUntil()) - ClockSlack
@@ -124,20 +140,43 @@
 
 // promisedUntil returns until when promises let the holder go on.
 func (d *Duty) promisedUntil() time.Duration {
-	most, all := d.promises(d.Record.Members)
+	b := d.bound(d.Record.Members)
+	most, all := b.most, b.all
 	if d.proposed != nil {
-		m, a := d.promises(d.proposed)
-		most, all = min(most, m), min(all, a)
+		p := d.bound(d.proposed)
+		most, all = min(most, p.most), min(all, p.all)
 	}
 	return max(min(most, d.Confirmed+HoldTime), min(all, d.Confirmed+FarTime))
 }
 
+// bounds is what the promises of a list of members come to.
+type bounds struct {
+	names     map[string]bool
+	most, all time.Duration
+}
+
+// bound returns the bounds of a list of members. They are worked out anew only after
+// a promise: this is asked at each heartbeat.
+func (d *Duty) bound(members []string) bounds {
+	if len(members) == 0 {
+		return bounds{}
+	}
+	key := &members[0]
+	if b, ok := d.bounds[key]; ok && len(b.names) == len(members) {
+		return b
+	}
+	if d.bounds == nil {
+		d.bounds = make(map[*string]bounds)
+	}
+	b := bounds{names: set(members)}
+	b.most, b.all = d.promises(members)
+	d.bounds[key] = b
+	return b
+}
+
 // promises returns the time until which most of the members have promised to claim
 // nothing, and that for all of them. This VM counts as one that has.
 func (d *Duty) promises(members []string) (most, all time.Duration) {
-	if len(members) == 0 {
-		return 0, 0
-	}
 	list := make([]time.Duration, 0, len(members))
 	for _, name := range members {
 		switch m := d.members[name]; {
@@ -156,8 +195,7 @@
 // Proved reports whether the holder has lately proved its hold, so that no other VM
 // can have promoted or granted anything since.
 func (d *Duty) Proved(now time.Duration) bool {
-	_, all := d.promises(d.Record.Members)
-	return now < d.Confirmed+provedTime || now < min(all, d.Confirmed+FarTime)
+	return now < d.Confirmed+provedTime || now < min(d.bound(d.Record.Members).all, d.Confirmed+FarTime)
 }
 
 // Clear reports whether leases that an earlier holder granted by promises have
@@ -188,14 +226,14 @@
 // Settling reports whether shares of rates that an earlier holder granted may be in
 // use unknown to this one. They last for life.
 func (d *Duty) Settling(life, now time.Duration) bool {
-	return !d.Complete() && (!d.Clear(now) || now < max(d.Claimed, d.cleared)+life)
+	return (!d.Clear(now) || now < max(d.Claimed, d.cleared)+life) && !d.Complete()
 }
 
 // Propose notes the members that a write names, before it is sent. Until the outcome
 // is known, promises have to suffice by the old list and by the new one.
 func (d *Duty) Propose(members []string) {
 	if !slices.Equal(members, d.Record.Members) {
-		d.proposed = members
+		d.proposed, d.bounds = members, nil
 	}
 }
 
@@ -226,7 +264,7 @@
 	if r.Version > d.Record.Version {
 		d.proposed = nil
 	}
-	d.Record, d.Confirmed = r, max(d.Confirmed, start)
+	d.Record, d.Confirmed, d.bounds = r, max(d.Confirmed, start), nil
 }
 
 // Dropped reports whether no VM can use the old primary of a moving group any
@@ -267,15 +305,20 @@
 	if !d.Clear(now) {
 		return d.Record.Members, false // what an earlier holder may count on
 	}
-	var list []string
+	list := make([]string, 0, len(d.Record.Members))
 	for _, name := range d.Record.Members {
 		m := d.members[name]
 		if name == d.Self || m != nil && now-m.heard < memberSilence || m == nil && now-d.Claimed < memberSilence {
 			list = append(list, name)
 		}
 	}
+	in := set(list)
 	for name, m := range d.members {
-		if !slices.Contains(list, name) && now-m.heard < fresh {
+		if !in[name] && now-m.heard > FarTime {
+			delete(d.members, name) // nothing that it was granted or has promised lasts so long
+			continue
+		}
+		if !in[name] && now-m.heard < fresh {
 			list = append(list, name)
 		}
 	}
@@ -311,9 +354,9 @@
 // Successor returns the member that the duty is handed to when this VM leaves: the
 // first of the record's that was heard lately and stays.
 func (d *Duty) Successor(self string, stays func(vm string) bool, now time.Duration) (string, bool) {
-	live := d.Live(now)
+	live := set(d.Live(now))
 	for _, name := range d.Record.Members {
-		if name != self && slices.Contains(live, name) && stays(name) {
+		if name != self && live[name] && stays(name) {
 			return name, true
 		}
 	}
@@ -362,7 +405,8 @@
 	}
 	var lastOK time.Duration
 	failing, refused, demoted := false, false, false
-	for _, m := range d.members {
+	for name := range d.reporters[group] {
+		m := d.members[name]
 		r, ok := m.reports[group]
 		if !ok || r.Epoch != g.Epoch || now-m.heard > fresh {
 			continue
--- a/reign/lease.go
+++ b/reign/lease.go
@@ -67,23 +67,45 @@
 // holder.
 const weakDelay = 500 * time.Millisecond
 
-// rankDelay spreads the claims of the members.
-const rankDelay = 100 * time.Millisecond
+// rankDelay spreads the claims of the first members, and farSpread those of all the
+// others together: it doesn't grow with the fleet.
+const (
+	rankDelay  = 100 * time.Millisecond
+	firstRanks = 12
+	farSpread  = 1500 * time.Millisecond
+)
+
+// turn returns how long a VM leaves a claim to members that come before it in the
+// record, without those that are known to be silent.
+func turn(self string, members []string, silent map[string]bool) time.Duration {
+	rank, far := 0, max(1, len(members)-firstRanks)
+	for _, m := range members {
+		if m == self {
+			break
+		}
+		if !silent[m] {
+			rank++
+		}
+	}
+	beyond := min(max(0, rank-firstRanks), far)
+	return time.Duration(min(rank, firstRanks))*rankDelay + farSpread*time.Duration(beyond)/time.Duration(far)
+}
 
 // Sight is what a VM knows when it considers to take the duty over.
 type Sight struct {
 	Self      string
 	Power     float64 // share of a core that this VM has
 	Record    Record
-	Silent    time.Duration // since the holder last answered this VM
-	NoClaim   time.Duration // boot clock: until then this VM has promised not to claim
-	Others    int           // other members that were asked
-	Answered  int           // of them, those that answered
-	HeardByAt int           // of them, those that heard the holder lately
-	Without   time.Duration // since the holder says that it does not reach the store
-	Store     bool          // this VM has reached the store just now
-	StoreFor  time.Duration // since when it does
-	Sign      time.Duration // since this VM learned of the holder's last sign at the store
+	Silent    time.Duration   // since the holder last answered this VM
+	NoClaim   time.Duration   // boot clock: until then this VM has promised not to claim
+	Others    int             // other VMs that were asked
+	Answered  int             // of them, those that answered
+	Mute      map[string]bool // of them, those that had time to answer and did not
+	HeardByAt int             // of them, those that heard the holder lately
+	Without   time.Duration   // since the holder says that it does not reach the store
+	Store     bool            // this VM has reached the store just now
+	StoreFor  time.Duration   // since when it does
+	Sign      time.Duration   // since this VM learned of the holder's last sign at the store
 }
 
 // MayClaim decides whether a VM claims the duty now.
@@ -97,13 +119,7 @@
 	if now < s.NoClaim {
 		return false
 	}
-	rank := len(s.Record.Members)
-	for i, m := range s.Record.Members {
-		if m == s.Self {
-			rank = i
-		}
-	}
-	turn := time.Duration(rank) * rankDelay
+	turn := turn(s.Self, s.Record.Members, s.Mute)
 	if s.Store && s.StoreFor < turn {
 		// The store has just come back, and all have waited long enough: the most
 		// powerful go first then, too.
--- a/reign/reign_test.go
+++ b/reign/reign_test.go
@@ -1,6 +1,7 @@
 package reign_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -106,6 +107,30 @@
 	}
 }
 
+// The holder of a fleet of hundreds is lost, and others with it: the wait before the
+// next one claims doesn't grow with the fleet, nor with those that are silent.
+func TestTakeoverDoesNotWaitForTheWholeFleet(t *testing.T) {
+	for _, n := range []int{30, 300, 3600} {
+		var members []string
+		mute := make(map[string]bool)
+		for i := range n {
+			members = append(members, fmt.Sprint(i))
+			mute[fmt.Sprint(i)] = i < 10
+		}
+		s := reign.Sight{Record: record(members...), Others: 24, Answered: 20, Silent: 1350 * time.Millisecond, Mute: mute}
+		if s.Self = "10"; !reign.MayClaim(s, 20*second) {
+			t.Errorf("%d VMs: the first that is not silent has to wait", n)
+		}
+		if s.Self = "11"; reign.MayClaim(s, 20*second) {
+			t.Errorf("%d VMs: the second one claims together with the first", n)
+		}
+		s.Self, s.Silent = fmt.Sprint(n-1), 5*second
+		if !reign.MayClaim(s, 20*second) {
+			t.Errorf("%d VMs: the last one has to wait longer than 5 s", n)
+		}
+	}
+}
+
 // duty returns the holder a of a, b and c, with the claim at 10 s.
 func duty() *reign.Duty {
 	d := &reign.Duty{Self: "a", Record: record("a", "b", "c"), Claimed: 10 * second, Confirmed: 10 * second}
--- /dev/null
+++ b/roll/roll_test.go
@@ -0,0 +1,113 @@
+package roll_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/pollendoor/pollendoor/roll"
+)
+
+func peers(names ...string) []roll.Peer {
+	list := make([]roll.Peer, 0, len(names))
+	for _, n := range names {
+		list = append(list, roll.Peer{Name: n, Zone: "z", IP: "10.0.0." + n})
+	}
+	return list
+}
+
+func ExampleBook() {
+	var b roll.Book
+	b.Start(1, roll.View{Peers: peers("1", "2")})
+	seen := b.View()
+	b.Set(peers("1", "2", "3", "4"))
+	b.Set(peers("2", "3", "4"))
+	d, _ := b.Since(seen.Version)
+	now, ok := seen.Apply(d)
+	fmt.Println(ok, len(d.Joined), d.Gone, len(now.Peers))
+	// Output: true 2 [1] 3
+}
+
+// Deltas get lost, come twice and out of order, and the holder changes: what a VM
+// has is always a list that a holder had under that version.
+func TestViewIsAlwaysOneOfTheHolders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b roll.Book
+		b.Start(1, roll.View{})
+		lists := map[uint64][]roll.Peer{b.View().Version: nil, 0: nil}
+		views := make([]roll.View, 4)
+		var late []roll.Delta
+		token := uint64(1)
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
+				// One of the VMs becomes the holder.
+				token++
+				v := views[rapid.IntRange(0, len(views)-1).Draw(t, "next")]
+				b = roll.Book{}
+				b.Start(token, v)
+				lists[b.View().Version] = v.Peers
+			case 1, 2, 3:
+				var names []string
+				for i := range 6 {
+					if rapid.Bool().Draw(t, "live") {
+						names = append(names, fmt.Sprint(i))
+					}
+				}
+				b.Set(peers(names...))
+				lists[b.View().Version] = b.View().Peers
+			default:
+				i := rapid.IntRange(0, len(views)-1).Draw(t, "vm")
+				d, whole := b.Since(views[i].Version)
+				if whole != nil {
+					views[i] = *whole
+				}
+				if d != nil {
+					late = append(late, *d)
+				}
+				if len(late) > 0 {
+					d := late[rapid.IntRange(0, len(late)-1).Draw(t, "delta")]
+					if next, ok := views[i].Apply(&d); ok {
+						views[i] = next
+					}
+				}
+			}
+			for i, v := range views {
+				if want := lists[v.Version]; !slices.Equal(v.Peers, want) {
+					t.Fatalf("VM %d at version %d: got %v, want %v", i, v.Version, v.Peers, want)
+				}
+			}
+		}
+	})
+}
+
+// A VM that is one change behind gets one VM's line, however large the fleet.
+func TestChangeCostsTheSameInALargeFleet(t *testing.T) {
+	for _, n := range []int{30, 300, 3600} {
+		var names []string
+		for i := range n {
+			names = append(names, fmt.Sprint(i))
+		}
+		var b roll.Book
+		b.Start(1, roll.View{Peers: peers(names...)})
+		seen := b.View().Version
+		b.Set(peers(names[1:]...))
+		d, whole := b.Since(seen)
+		if whole != nil || len(d.Joined) != 0 || len(d.Gone) != 1 {
+			t.Errorf("%d VMs: got delta %v, whole %v, want the one that has gone", n, d, whole != nil)
+		}
+	}
+}
+
+func TestLeads(t *testing.T) {
+	v := roll.View{Peers: append(peers("1", "2", "3", "4"), roll.Peer{Name: "5", Zone: "other"})}
+	two, all := v.Leads("z", 2), v.Leads("z", 9)
+	if len(two) != 2 || len(all) != 4 || two[0] != all[0] || two[1] != all[1] {
+		t.Errorf("got %v of %v, want the first two of four", two, all)
+	}
+	if got := v.Leads("none", 2); len(got) != 0 {
+		t.Errorf("zone without VMs: got %v, want none", got)
+	}
+}
