share: the side of a cut that has no keeper gets what is unused there

The holder that goes on by promises renewed each share as it was, and the next holder let each VM keep what it had.

Ruled out: dividing the whole anew on either side, which exceeds the limit.

Change: a holder that may not be alone divides the budget of those that it has heard all the time. What a VM gives back stays in the budget; what lapses leaves it, as that VM may have turned to the other holder. The next holder divides what its VMs have reported by demand as soon as all zones have told theirs.

--- a/share/pool.go
+++ b/share/pool.go
@@ -37,15 +37,16 @@
 
 // holding is what is known of a VM's use of one team's allowance.
 type holding struct {
-	run    uint64 // process that reported it
-	source Source
-	zone   string
-	demand float64
-	heard  time.Duration // when it last reported, zero once it has given up its share
-	before float64       // held from an earlier holder
-	lapsed float64       // the part of before that had lapsed when it was reported
-	grants []grant       // not superseded yet
-	first  estimate      // of its demand, until it has measured its own
+	run     uint64 // process that reported it
+	source  Source
+	zone    string
+	demand  float64
+	heard   time.Duration // when it last reported, zero once it has given up its share
+	before  float64       // held from an earlier holder
+	lapsed  float64       // the part of before that had lapsed when it was reported
+	grants  []grant       // not superseded yet
+	counted float64       // the part of a frozen budget that it holds
+	first   estimate      // of its demand, until it has measured its own
 }
 
 // estimate is a demand that was measured by another VM of the zone.
@@ -79,6 +80,10 @@
 	// left is the demand of zones whose keeper has given up its share, for the
 	// one that takes its place.
 	left map[string]estimate
+	// frozen says that another holder may divide the allowance as well, and budget
+	// what this one may divide: that which VMs that it has heard all the time hold.
+	frozen bool
+	budget float64
 }
 
 func (h *holding) outstanding(now time.Duration) float64 {
@@ -112,7 +117,8 @@
 	// Held is the same for what they still hold: the earlier holder may have
 	// given to others what has lapsed.
 	Held
-	// Frozen leaves each VM what it has, as another holder may divide the rest.
+	// Frozen divides what the VMs that are heard hold together, as another holder may
+	// divide the rest.
 	Frozen
 )
 
@@ -161,6 +167,7 @@
 		}
 		own := a.holding(&r, h, now)
 		if h.Released {
+			own.counted = 0 // what it held stays in the budget of a frozen account
 			a.release(own, now)
 			continue
 		}
@@ -168,10 +175,14 @@
 			own.first = a.left[r.Zone]
 			delete(a.left, r.Zone)
 		}
+		a.lapse(own, now)
 		own.demand, own.heard = h.Demand, now
 		own.grants = slices.DeleteFunc(own.grants, func(g grant) bool { return g.seq < r.Seq })
+		own.counted = min(own.counted, own.outstanding(now)) // what it has given back stays in the budget
+		a.freeze(div == Frozen, now)
 		amount := a.amount(own, live, p.Reserves, div, now)
 		own.grants = append(own.grants, grant{seq: p.seq, amount: amount, until: now + Life})
+		own.counted = own.outstanding(now)
 		out[team] = amount
 	}
 	return Grants{Amounts: out, Seq: p.seq}
@@ -185,7 +196,9 @@
 		return own
 	}
 	if own != nil {
-		a.release(own, now) // by its end
+		// By its end. Another holder may have renewed its share before.
+		a.budget -= own.counted
+		a.release(own, now)
 	}
 	own = &holding{run: r.Run, source: r.Source, zone: r.Zone, before: h.Amount}
 	if h.Left <= 0 {
@@ -207,6 +220,36 @@
 	h.grants, h.demand, h.heard, h.first = nil, 0, 0, estimate{}
 }
 
+// freeze follows whether another holder may divide the allowance as well.
+func (a *account) freeze(frozen bool, now time.Duration) {
+	if !frozen {
+		a.frozen = false
+		return
+	}
+	if !a.frozen {
+		a.frozen, a.budget = true, 0
+		for _, h := range a.vms {
+			h.counted = 0
+			if h.reports(now) {
+				h.counted = h.outstanding(now)
+			}
+			a.budget += h.counted
+		}
+	}
+	for _, h := range a.vms {
+		a.lapse(h, now)
+	}
+}
+
+// lapse takes out of a frozen account's budget what a VM has not renewed in time: it
+// may have turned to another holder.
+func (a *account) lapse(h *holding, now time.Duration) {
+	if lost := h.counted - h.outstanding(now); a.frozen && lost > 0 {
+		a.budget -= lost
+		h.counted -= lost
+	}
+}
+
 // reserve returns the part of an allowance that is kept in reserve, by the demand
 // of each zone.
 func reserve(demand float64) float64 {
@@ -217,9 +260,13 @@
 func (a *account) amount(own *holding, live int, reserves bool, div Division, now time.Duration) float64 {
 	demand, others, before := 0.0, 0.0, 0.0
 	reporting := 0
-	for _, h := range a.vms {
+	for s, h := range a.vms {
 		if h != own {
-			others += h.outstanding(now)
+			held := h.outstanding(now)
+			others += held
+			if div == Whole && held == 0 && !h.reports(now) {
+				delete(a.vms, s) // VMs come and go
+			}
 		}
 		if h.source == Zone && h.reports(now) {
 			demand += h.expected(now)
@@ -237,10 +284,13 @@
 		}
 	}
 	whole := 1.0
-	if div == Known || div == Held {
+	switch div {
+	case Known, Held:
 		// All that the earlier holder granted summed to one at most; what is not
 		// with the VMs that have reported may be with the others.
 		whole = min(1, before)
+	case Frozen:
+		whole = a.budget
 	}
 	live = max(1, live)
 	kept := 0.0
@@ -249,19 +299,15 @@
 	}
 	current := own.outstanding(now)
 	want := (whole - kept) / float64(live)
+	complete := demand > 0 && reporting >= live // before, the first ones would get it all
 	switch {
-	case div == Frozen:
-		return max(0, min(current, whole-others))
 	case own.source == Reserve:
 		want = kept
-	case div != Whole:
-	case demand > 0 && reporting >= live:
-		// Before all have told their demand, the first ones would get it all.
+	case complete:
 		want = (whole - kept) * (even/float64(live) + (1-even)*own.expected(now)/demand)
 	}
-	if div != Whole && current > 0 {
-		// The demand of those that have reported first says nothing yet.
-		return max(0, min(max(current, want), whole-others))
+	if div != Whole && !complete {
+		want = max(current, want)
 	}
 	sum := current + others
 	if d := want - current; d < step && d > -step && sum <= whole && sum > whole-step {
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -352,3 +352,99 @@
 		t.Errorf("once the earlier holder is known to be gone: got %.2f, want 0.20", got)
 	}
 }
+
+// A cut takes a zone's keeper of a rate away; its zone's next keeper is on this side,
+// with a holder that goes on by promises. It gets what the others here do not need, and
+// together they never have more than they had. Found in inc-efd5 and inc-edfa, where it
+// had nothing until the cut healed and refused four fifths of a team's operations.
+func TestNextKeeperInACutGetsAShare(t *testing.T) {
+	for _, div := range []share.Division{share.Frozen, share.Held} {
+		var p share.Pool
+		now := time.Second
+		amounts, seqs := make(map[string]float64), make(map[string]uint64)
+		renew := func(vm string, demand float64, div share.Division) {
+			r := share.Report{VM: vm, Zone: vm, Holdings: share.Holdings{Seq: seqs[vm], Teams: held(amounts[vm], share.Life, demand)}}
+			got := p.Renew(r, 3, div, now)
+			amounts[vm], seqs[vm] = got.Amounts["t"], got.Seq
+		}
+		for range 10 {
+			for _, vm := range []string{"a", "b", "lost"} {
+				renew(vm, 10, share.Whole)
+			}
+			now += 400 * time.Millisecond
+		}
+		if div == share.Held {
+			p, seqs = share.Pool{}, make(map[string]uint64) // the next holder's
+		}
+		most := amounts["a"] + amounts["b"]
+		for range 12 {
+			for _, vm := range []string{"a", "b", "next"} {
+				renew(vm, 10, div)
+			}
+			now += 400 * time.Millisecond
+			if got := amounts["a"] + amounts["b"] + amounts["next"]; got > most+1e-9 {
+				t.Fatalf("division %d: got %.3f together, want at most the %.3f that were there", div, got, most)
+			}
+		}
+		if got, least := amounts["next"], 0.8*most/3; got < least {
+			t.Errorf("division %d: got %.3f for the next keeper, want %.3f, nearly an even part of what is left", div, got, least)
+		}
+	}
+}
+
+// Two holders divide one allowance on either side of a cut, while VMs go from one side
+// to the other, restart and lose answers: what is in use never exceeds the whole.
+func TestTwoSidesOfACutNeverExceedTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type vm struct {
+			amount float64
+			until  time.Duration
+			seq    uint64
+			run    uint64
+			next   bool // it has turned to the next holder
+		}
+		vms := make([]vm, 4)
+		pools := [2]share.Pool{{Reserves: true}, {Reserves: true}}
+		now := time.Duration(0)
+		cut := time.Duration(rapid.IntRange(2000, 6000).Draw(t, "cut")) * time.Millisecond
+		step := func(i int) {
+			v := &vms[i]
+			if rapid.IntRange(0, 14).Draw(t, "restart") == 0 {
+				*v = vm{run: v.run + 1, next: v.next}
+			}
+			if now > cut && !v.next && rapid.IntRange(0, 3).Draw(t, "turns") == 0 {
+				v.next, v.seq = true, 0
+			}
+			side, div := 0, share.Whole
+			if now > cut {
+				div = share.Frozen
+			}
+			if v.next {
+				side, div = 1, share.Held
+			}
+			h := held(v.amount, max(0, v.until-now), rapid.Float64Range(0, 50).Draw(t, "demand"))
+			source := share.Zone
+			if i == 3 {
+				source = share.Reserve
+			}
+			r := share.Report{VM: fmt.Sprint(i), Source: source, Zone: fmt.Sprint(i), Run: v.run, Holdings: share.Holdings{Seq: v.seq, Teams: h}}
+			got := pools[side].Renew(r, 3, div, now)
+			if rapid.IntRange(0, 3).Draw(t, "lost") > 0 {
+				v.amount, v.until, v.seq = got.Amounts["t"], now+share.Life, got.Seq
+			}
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond
+			step(rapid.IntRange(0, len(vms)-1).Draw(t, "vm"))
+			sum := 0.0
+			for _, v := range vms {
+				if v.until > now {
+					sum += v.amount
+				}
+			}
+			if sum > 1+1e-9 {
+				t.Fatalf("got %.3f of the allowance in use at %v, want at most 1", sum, now)
+			}
+		}
+	})
+}
