reign, fleet, platform: few keepers of rates, VMs that start without the store

Trace: the three restarted VMs ask the store for the record until 38.3 and know nobody else; the new holder of the other five, which were ready at 34.7, can't know whether those three hold shares of rates and divides none for 3 s: 1,100 logged refusals `over the team's rate`.

- In a fleet of more than 24 VMs three VMs of each zone keep rates, written down in the record before they are granted anything: the next holder knows of all shares once it has heard these 18, however slowly hundreds of others start.
- The lead of a zone that has lost the store takes targets over from the holder.

--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -335,6 +335,14 @@
 		b.compare(p, now)
 	case packetBundle:
 		b.unbundle(p, now)
+	case packetSeek:
+		if r := b.vm.lease.Load().Record; r.Token > 0 {
+			b.write(&packet{Kind: packetFound, Record: &storedRecord{Record: r}}, p.From.IP)
+		}
+	case packetFound:
+		if p.Record != nil {
+			b.vm.learn(*p.Record, p.From.Name)
+		}
 	case packetStands:
 		b.stander.ask(b.vm, p)
 	case packetStood:
@@ -373,7 +381,7 @@
 	r := b.vm.lease.Load().Record
 	if p.Relay == "" && r.Addr != "" && r.Addr != b.vm.Settings.IP {
 		p.Relay = b.vm.Settings.IP
-		if len(b.vm.view.Load().Peers) <= smallFleet {
+		if len(b.vm.view.Load().Peers) <= reign.SmallFleet {
 			b.forward(p, r.Addr)
 		} else {
 			b.bundler.add(b, p)
--- a/fleet/bundle.go
+++ b/fleet/bundle.go
@@ -145,7 +145,7 @@
 	direct := now < b.direct
 	b.mu.Unlock()
 	leads := *b.vm.leads.Load()
-	if direct || len(leads) == 0 || len(b.vm.view.Load().Peers) <= smallFleet || b.vm.leadOf() >= 0 {
+	if direct || len(leads) == 0 || len(b.vm.view.Load().Peers) <= reign.SmallFleet || b.vm.leadOf() >= 0 {
 		return r.Addr
 	}
 	if d, ok := b.vm.stats.traffic.distance(r.Addr); ok && d == pollendoor.SameZone {
--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -116,7 +116,7 @@
 	d.pool = share.Pool{Reserves: true}
 	d.moves = make(map[string]bool)
 	d.mu.Unlock()
-	v.Log.Info().Uint64("token", next.Token).Str("before", r.Holder).Strs("members", next.Members).Msg("duty claimed")
+	v.Log.Info().Uint64("token", next.Token).Str("before", r.Holder).Int("members", len(next.Members)).Msg("duty claimed")
 	v.learn(next, "claim")
 	d.poke()
 	v.beat.wake()
@@ -319,27 +319,33 @@
 	}
 }
 
-// admit writes the members down as they come and go.
+// admit writes the members, and those that keep rates, down as they come and go.
 func (d *duty) admit(ctx context.Context, now time.Duration) {
 	d.mu.Lock()
 	list, changed := d.state.Members(now)
+	keepers, others := d.state.Keepers(now)
 	keep := d.state.KeepStruck(now)
-	due := now-d.members > memberPeriod && !d.moves[membersMove]
-	if changed && due {
+	due := (changed || others) && now-d.members > memberPeriod && !d.moves[membersMove]
+	if due {
 		d.members = now
 		d.moves[membersMove] = true
 	}
 	d.mu.Unlock()
-	if !changed || !due {
+	if !due {
 		return
 	}
 	go func() {
-		err := d.write(ctx, func(r reign.Record) reign.Record { return r.WithMembers(list, keep) })
+		err := d.write(ctx, func(r reign.Record) reign.Record {
+			if changed {
+				return r.WithMembers(list, keep)
+			}
+			return r.WithKeepers(keepers)
+		})
+		l := d.vm.Log.Info()
 		if err != nil {
-			d.vm.Log.Warn().Err(err).Strs("members", list).Msg("members not written")
-		} else {
-			d.vm.Log.Info().Strs("members", list).Msg("members changed")
+			l = d.vm.Log.Warn().Err(err)
 		}
+		l.Int("members", len(list)).Strs("keepers", keepers).Bool("written", err == nil).Msg("members changed")
 		d.done(membersMove)
 	}()
 }
--- a/fleet/flows.go
+++ b/fleet/flows.go
@@ -27,7 +27,7 @@
 var flowNames = [flows]string{
 	packetBeat: "beat", packetAnswer: "answer", packetPoke: "poke", packetAsk: "holderAsk", packetTell: "holderTell",
 	packetNews: "news", packetAdmit: "admit", packetAdmitted: "admitted",
-	packetStands: "stands", packetStood: "stood", packetBundle: "bundle",
+	packetStands: "stands", packetStood: "stood", packetBundle: "bundle", packetSeek: "seek", packetFound: "found",
 	flowWork: "work", flowReply: "reply", flowAsk: "ask", flowConfig: "config", flowTargets: "targets", flowRecord: "record",
 }
 
--- a/fleet/grant.go
+++ b/fleet/grant.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"time"
 
 	"github.com/pollendoor/pollendoor"
@@ -22,7 +23,7 @@
 			reports[name] = r
 		}
 	}
-	d.state.Heard(reign.Heartbeat{VM: v.Settings.VM, Version: d.state.Record.Version, Power: v.Settings.CPU, Reports: reports}, now)
+	d.state.Heard(reign.Heartbeat{VM: v.Settings.VM, Version: d.state.Record.Version, Power: v.Settings.CPU, Zone: v.Settings.Zone, Reports: reports}, now)
 	if l := d.state.Lease(v.Settings.VM, now); l > 0 {
 		v.changeLease(func(own *reign.Lease) bool { return own.Adopt(d.state.Record, now, l) })
 	}
@@ -48,11 +49,16 @@
 	return share.Whole
 }
 
-// renew renews the shares that a VM reports.
+// renew renews the shares that a VM reports. One that is no keeper can only give some
+// up: the next holder would not know of what it is granted.
 func (d *duty) renew(from roll.Peer, run uint64, held []share.Holdings, now time.Duration) []share.Grants {
 	zones, division := d.sharers(now), d.division(now)
 	out := make([]share.Grants, share.Sources)
+	keeps := d.state.Record.Keeps(from.Name)
 	for s, h := range held {
+		if !keeps {
+			maps.DeleteFunc(h.Teams, func(_ string, h share.Holding) bool { return !h.Released })
+		}
 		if s < len(out) {
 			r := share.Report{VM: from.Name, Source: share.Source(s), Zone: from.Zone, Run: run, Holdings: h}
 			out[s] = d.pool.Renew(r, zones, division, now)
@@ -119,7 +125,7 @@
 			p.Held[i].Seq = 0
 		}
 	}
-	d.state.Heard(reign.Heartbeat{VM: p.From.Name, Version: version, Echo: p.Echo, Promise: p.Promise, Bound: p.Bound, Power: p.Power, Reports: p.Reports}, now)
+	d.state.Heard(reign.Heartbeat{VM: p.From.Name, Version: version, Echo: p.Echo, Promise: p.Promise, Bound: p.Bound, Power: p.Power, Zone: p.From.Zone, Reports: p.Reports}, now)
 	listed := d.book.View()
 	left := p.From.Leaving && listed.Has(p.From.Name)
 	d.peers[p.From.Name] = p.From
--- a/fleet/news.go
+++ b/fleet/news.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"net"
 	"slices"
 	"time"
 
@@ -33,9 +34,10 @@
 	}
 	late := now-b.differs > differPatience
 	b.mu.Unlock()
-	if late && v.watches() {
+	own := v.watches() && !v.entries.lost.Load()
+	if late && own {
 		v.entries.nudge()
-	} else if (late || !v.watches()) && b.start(&b.listing) {
+	} else if !own && b.start(&b.listing) {
 		go b.catchUpTargets(from, p.Digest)
 	}
 }
@@ -148,6 +150,18 @@
 	b.write(p, addresses(near)...)
 }
 
+// seek asks the VMs that the settings name for the record, when the store does not
+// answer: the duty holder can be reached without it.
+func (b *beat) seek() {
+	var ips []string
+	for _, seed := range b.vm.Settings.Seeds {
+		if ip, _, err := net.SplitHostPort(seed); err == nil && ip != b.vm.Settings.IP {
+			ips = append(ips, ip)
+		}
+	}
+	b.write(&packet{Kind: packetSeek}, ips...)
+}
+
 // fetchRecord takes a record over from a VM that has a newer one.
 func (b *beat) fetchRecord(from roll.Peer) {
 	defer b.done(&b.recording)
--- a/fleet/packet.go
+++ b/fleet/packet.go
@@ -23,6 +23,8 @@
 	packetAdmitted                       // its answer
 	packetStands                         // a VM asks a lead of its zone whether the record stands
 	packetStood                          // its answer
+	packetSeek                           // a VM that has started without the store asks for the record
+	packetFound                          // its answer
 	packetBundle                         // heartbeats, or their answers, through the lead of a zone
 	packetKinds                          // their number
 )
--- a/fleet/rates.go
+++ b/fleet/rates.go
@@ -47,7 +47,9 @@
 	avoid   map[string]time.Duration // keepers that did not answer, until when
 	seats   map[string]keepers       // by team, for the view in seated
 	seated  *roll.View
-	hashes  []uint64 // of the names of the view's VMs
+	keepers *string     // first of the record's keepers then
+	peers   []roll.Peer // that keep rates
+	hashes  []uint64    // of their names
 }
 
 // keepers are the VMs that keep a team's rate, as one VM sees it.
@@ -56,20 +58,28 @@
 	reserve roll.Peer
 }
 
-// of returns a team's keepers. They are worked out once for each view of the VMs.
+// of returns a team's keepers. They are worked out once for each view of the VMs and
+// each list of those that keep rates.
 // The caller holds mu.
 func (r *rates) of(team string) keepers {
 	v := r.vm
-	if w := v.view.Load(); w != r.seated {
-		r.seated, r.seats = w, make(map[string]keepers)
-		r.hashes = make([]uint64, 0, len(w.Peers))
+	record := &v.lease.Load().Record
+	var first *string
+	if len(record.Keepers) > 0 {
+		first = &record.Keepers[0]
+	}
+	if w := v.view.Load(); w != r.seated || first != r.keepers {
+		r.seated, r.keepers, r.seats = w, first, make(map[string]keepers)
+		r.peers, r.hashes = nil, nil
 		for _, p := range w.Peers {
-			r.hashes = append(r.hashes, xxhash.Sum64String(p.Name))
+			if record.Keeps(p.Name) {
+				r.peers, r.hashes = append(r.peers, p), append(r.hashes, xxhash.Sum64String(p.Name))
+			}
 		}
 	}
 	k, ok := r.seats[team]
 	if !ok {
-		k = seat(r.seated.Peers, r.hashes, v.Settings.Zone, team)
+		k = seat(r.peers, r.hashes, v.Settings.Zone, team)
 		r.seats[team] = k
 	}
 	return k
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -13,12 +13,9 @@
 )
 
 const (
-	// smallFleet is the number of VMs up to which each one turns to the store by
-	// itself when it does not hear the holder. In a larger fleet the first members
-	// and the leads of the zones do, and the others ask those.
-	smallFleet = 24
-	// firstReaders is the number of members that read for themselves in any case:
-	// they are the first to take the duty over.
+	// firstReaders is the number of members of a large fleet that turn to the store
+	// themselves when they do not hear the holder, beside the leads of the zones: they
+	// are the first to take the duty over. The others ask the leads.
 	firstReaders = 12
 	// zoneLeads is the number of VMs of a zone that read for the others.
 	zoneLeads = 2
@@ -34,7 +31,7 @@
 // readers reports whether a VM of a record reads the store for itself while the
 // holder is silent.
 func readers(r *reign.Record, vm string) bool {
-	if len(r.Members) <= smallFleet {
+	if len(r.Members) <= reign.SmallFleet {
 		return true
 	}
 	return slices.Contains(r.Members[:firstReaders], vm)
@@ -194,7 +191,7 @@
 		if v.watches() {
 			return false
 		}
-		if n := len(v.lease.Load().Record.Members); v.beat.listed.Load() && n > 0 && n <= smallFleet && !v.Settings.Bootstrap {
+		if n := len(v.lease.Load().Record.Members); v.beat.listed.Load() && n > 0 && n <= reign.SmallFleet && !v.Settings.Bootstrap {
 			return false
 		}
 		pollendoor.Pause(ctx, firstPoll)
--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -27,6 +27,10 @@
 	LogLevel string  `yaml:"logLevel"` // debug, info, warn or error
 	// Bootstrap says that the whole fleet starts for the first time.
 	Bootstrap bool `yaml:"bootstrap"`
+	// Seeds are addresses, IP and port, of some VMs, which may be gone: they are asked
+	// for the duty holder when the store does not answer at the start. Only the IP
+	// counts.
+	Seeds []string `yaml:"seeds"`
 
 	// Zones gives the region of each availability zone.
 	Zones map[string]string `yaml:"zones"`
@@ -65,6 +69,11 @@
 			return errors.Wrapf(err, "%s", f.name)
 		}
 	}
+	for _, seed := range s.Seeds {
+		if _, _, err := net.SplitHostPort(seed); err != nil {
+			return errors.Wrap(err, "seeds")
+		}
+	}
 	if s.PeerPort <= 0 || s.PeerPort > 65535 {
 		return errors.Newf("peerPort: %d is no port", s.PeerPort)
 	}
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,6 +46,7 @@
 	change func(changed []pollendoor.Object, revision uint64) // gets what has changed since, up to a revision
 	known  func() bool                                        // whether this VM has got it
 
+	lost  atomic.Bool // the store did not answer the last call
 	mu    sync.Mutex
 	stale context.CancelFunc // ends the waiting watch
 }
@@ -69,8 +72,7 @@
 
 // follow lists a kind, and watches it while this VM is its zone's watcher.
 func (v *VM) follow(ctx context.Context, f *follower) {
-	lost, listed := false, false
-	listed = v.firstList(ctx, f.known)
+	listed := v.firstList(ctx, f.known)
 	for ctx.Err() == nil {
 		if listed && !v.watches() {
 			pollendoor.Pause(ctx, watcherPoll)
@@ -78,10 +80,11 @@
 		}
 		all, revision, err := v.Platform.Store.List(ctx, f.kind)
 		if err == nil {
-			if lost {
+			if f.lost.Load() {
 				v.Log.Info().Str("kind", f.kind).Uint64("revision", revision).Msg("store regained")
 			}
-			lost, listed = false, true
+			f.lost.Store(false)
+			listed = true
 			f.list(all, revision)
 		}
 		for err == nil && ctx.Err() == nil && v.watches() {
@@ -101,10 +104,12 @@
 			v.Log.Debug().Err(err).Str("kind", f.kind).Msg("listing anew")
 			continue
 		}
-		if !lost {
+		if f.known() && !v.watches() {
+			listed = true // it has come from other VMs
+		}
+		if !f.lost.Swap(true) {
 			v.Log.Warn().Err(err).Str("kind", f.kind).Msg("store lost")
 		}
-		lost = true
 		v.stats.StoreErrors.Add(1)
 		pollendoor.Pause(ctx, retryPause/2+rand.N(retryPause))
 	}
@@ -299,6 +304,7 @@
 		}
 		v.stats.StoreErrors.Add(1)
 		v.Log.Warn().Err(err).Msg("record not read")
+		v.beat.seek()
 		pollendoor.Pause(ctx, retryPause/2+rand.N(retryPause))
 	}
 }
@@ -344,6 +350,9 @@
 		v.beat.newHolder(clock.Now())
 		v.Log.Info().Str("holder", r.Holder).Uint64("token", r.Token).Uint64("version", r.Version).Str("source", source).Msg("duty holder changed")
 	}
+	if !slices.Equal(old.Keepers, r.Keepers) {
+		v.rates.know(v.Config())
+	}
 	for name, g := range r.Groups {
 		if old.Groups[name] != g {
 			v.Log.Info().Str("group", name).Uint64("epoch", g.Epoch).Str("primary", g.Primary).Bool("moving", g.Moving).
--- a/reign/duty.go
+++ b/reign/duty.go
@@ -43,6 +43,7 @@
 	promised time.Duration // until then it claims nothing
 	bound    time.Duration // until then it may have promised that to an earlier holder
 	power    float64
+	zone     string
 	reports  map[string]Report
 }
 
@@ -73,6 +74,7 @@
 	Promise time.Duration     // how long after Echo it claims nothing
 	Bound   time.Duration     // how long it may still be bound by a promise to an earlier holder
 	Power   float64           // share of a core that it has
+	Zone    string            // availability zone
 	Reports map[string]Report // by group
 }
 
@@ -100,7 +102,7 @@
 		}
 		d.reporters[group][b.VM] = true
 	}
-	m.heard, m.version, m.reports, m.power = now, b.Version, b.Reports, b.Power
+	m.heard, m.version, m.reports, m.power, m.zone = now, b.Version, b.Reports, b.Power, b.Zone
 	m.bound = now + b.Bound
 	if b.VM == d.former && b.Version > 0 && d.relieved == 0 {
 		d.relieved = now
@@ -363,9 +365,14 @@
 	return "", false
 }
 
-// Complete reports whether every member has been heard since the claim.
+// Complete reports whether every VM that may hold shares of rates has been heard since
+// the claim.
 func (d *Duty) Complete() bool {
-	for _, name := range d.Record.Members {
+	list := d.Record.Keepers
+	if len(list) == 0 {
+		list = d.Record.Members
+	}
+	for _, name := range list {
 		if name != d.Self && d.members[name] == nil {
 			return false
 		}
--- a/reign/record.go
+++ b/reign/record.go
@@ -84,6 +84,9 @@
 	Addr    string           `json:"addr"`   // the holder's heartbeat address
 	Groups  map[string]Group `json:"groups"`
 	Members []string         `json:"members"` // VMs that may hold leases and claim the duty
+	// Keepers is the VMs that may hold shares of teams' rates; none means all. The
+	// next holder knows of all shares once it has heard these.
+	Keepers []string `json:"keepers,omitempty"`
 	// Struck is former members that were struck off lately: they may hold a lease
 	// that they got by a read of an older record.
 	Struck []string `json:"struck,omitempty"`
@@ -100,7 +103,7 @@
 	n.Version++
 	n.Groups = make(map[string]Group, len(r.Groups)+1)
 	maps.Copy(n.Groups, r.Groups)
-	n.Members, n.Struck = slices.Clone(r.Members), slices.Clone(r.Struck)
+	n.Members, n.Struck, n.Keepers = slices.Clone(r.Members), slices.Clone(r.Struck), slices.Clone(r.Keepers)
 	return n
 }
 
@@ -130,6 +133,13 @@
 	return n
 }
 
+// WithKeepers returns the record with other keepers of rates.
+func (r *Record) WithKeepers(list []string) Record {
+	n := r.next()
+	n.Keepers = slices.Clone(list)
+	return n
+}
+
 // WithGroup returns the record with a group's state replaced.
 func (r *Record) WithGroup(name string, g Group) Record {
 	return r.WithGroups(map[string]Group{name: g})
--- a/reign/reign_test.go
+++ b/reign/reign_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -131,6 +132,70 @@
 	}
 }
 
+// A fleet of 300 VMs in six zones: three VMs of each keep rates, the most powerful ones.
+// One that is silent stays until its shares have lapsed, and another one comes in. The
+// next holder knows of all shares once it has heard the keepers, however slowly the
+// others start.
+func TestKeepers(t *testing.T) {
+	const zones, each = 6, 50
+	var members []string
+	for i := range zones * each {
+		members = append(members, fmt.Sprintf("vm%03d", i))
+	}
+	d := &reign.Duty{Self: "vm000", Record: record(members...), Claimed: 10 * second, Confirmed: 10 * second}
+	hear := func(d *reign.Duty, now time.Duration, without ...string) {
+		for i, vm := range members {
+			if !slices.Contains(without, vm) {
+				power := 0.2
+				if i/zones < 4 {
+					power = 0.8
+				}
+				d.Heard(reign.Heartbeat{VM: vm, Version: 1, Power: power, Zone: fmt.Sprint(i % zones)}, now)
+			}
+		}
+	}
+	now := 20 * second
+	hear(d, now)
+	list, changed := d.Keepers(now)
+	if !changed || len(list) != 3*zones {
+		t.Fatalf("got %d keepers, changed %v, want %d", len(list), changed, 3*zones)
+	}
+	for _, vm := range list {
+		if vm > "vm023" {
+			t.Errorf("got %s as a keeper, want one of the powerful VMs", vm)
+		}
+	}
+	d.Written(d.Record.WithKeepers(list), now, now)
+	silent := list[1]
+	for _, tc := range []struct {
+		after time.Duration
+		want  int
+		kept  bool
+	}{
+		{second, 3 * zones, true},
+		{2 * second, 3*zones + 1, true},
+		{4 * second, 3 * zones, false},
+	} {
+		hear(d, now+tc.after, silent)
+		got, _ := d.Keepers(now + tc.after)
+		if len(got) != tc.want || slices.Contains(got, silent) != tc.kept {
+			t.Errorf("%v after a keeper was heard: got %d keepers, want %d; it is one: %v, want %v",
+				tc.after, len(got), tc.want, slices.Contains(got, silent), tc.kept)
+		}
+		d.Written(d.Record.WithKeepers(got), now+tc.after, now+tc.after)
+	}
+	next := reign.Claim("vm000", d.Record, d.Record.Claim("vm000", "addr"), 30*second, 30*second)
+	for _, vm := range d.Record.Keepers {
+		if next.Complete() {
+			t.Errorf("before %s was heard: got a holder that knows all shares", vm)
+		}
+		next.Heard(reign.Heartbeat{VM: vm, Version: 1}, 30*second)
+	}
+	if !next.Complete() {
+		t.Error("all keepers heard: got a holder that does not know all shares")
+	}
+}
+
 // duty returns the holder a of a, b and c, with the claim at 10 s.
 func duty() *reign.Duty {
 	d := &reign.Duty{Self: "a", Record: record("a", "b", "c"), Claimed: 10 * second, Confirmed: 10 * second}
--- a/reign/step.go
+++ b/reign/step.go
@@ -28,6 +28,7 @@
 	Added   []Place          `cbor:"8,keyasint,omitempty"` // to the rest, in this order
 	Struck  []string         `cbor:"9,keyasint,omitempty"`
 	Settled bool             `cbor:"10,keyasint,omitempty"`
+	Keepers []string         `cbor:"11,keyasint,omitempty"`
 }
 
 // Place is a member with its index in the new list.
@@ -41,7 +42,7 @@
 func NewStep(from, to *Record) (Step, bool) {
 	s := Step{
 		From: from.Edition(), To: to.Edition(), Holder: to.Holder, Addr: to.Addr,
-		Groups: make(map[string]Group), Struck: to.Struck, Settled: to.Settled,
+		Groups: make(map[string]Group), Struck: to.Struck, Settled: to.Settled, Keepers: to.Keepers,
 	}
 	if !s.From.Before(s.To) {
 		return Step{}, false
@@ -84,7 +85,7 @@
 	}
 	n := r.WithGroups(s.Groups)
 	n.Token, n.Version, n.Holder, n.Addr = s.To.Token, s.To.Version, s.Holder, s.Addr
-	n.Struck, n.Settled = slices.Clone(s.Struck), s.Settled
+	n.Struck, n.Settled, n.Keepers = slices.Clone(s.Struck), s.Settled, slices.Clone(s.Keepers)
 	gone := set(s.Removed)
 	n.Members = slices.DeleteFunc(n.Members, func(m string) bool { return gone[m] })
 	for _, p := range s.Added {
--- a/reign/step_test.go
+++ b/reign/step_test.go
@@ -22,7 +22,9 @@
 		vms := []reign.Record{record, record, record}
 		var late []reign.Step
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
-			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			switch rapid.IntRange(0, 7).Draw(t, "step") {
+			case 7:
+				record = record.WithKeepers([]string{fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "keeper"))})
 			case 6:
 				// Another VM takes the duty over, with the record that it has read.
 				record = record.Claim(fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "holder")), "addr")
@@ -68,7 +70,7 @@
 
 func same(a, b reign.Record) bool {
 	return a.Edition() == b.Edition() && a.Holder == b.Holder && a.Settled == b.Settled &&
-		slices.Equal(a.Members, b.Members) && slices.Equal(a.Struck, b.Struck) &&
+		slices.Equal(a.Members, b.Members) && slices.Equal(a.Keepers, b.Keepers) && slices.Equal(a.Struck, b.Struck) &&
 		(len(a.Groups) == 0 && len(b.Groups) == 0 || reflect.DeepEqual(a.Groups, b.Groups))
 }
 
