share, fleet: two reserves, and no VM holds more than a part of an allowance

Change: the reserve is kept in two parts by two VMs; no VM holds more than 0.35 of an allowance, so a new holder divides at once what those that it has not heard can't have. A team far beyond its rate does not ask in other regions for 200 ms after it found the reserves empty.

--- a/fleet/grant.go
+++ b/fleet/grant.go
@@ -52,7 +52,8 @@
 // renew renews the shares that a VM reports. One that is no keeper can only give some
 // up: the next holder would not know of what it is granted.
 func (d *duty) renew(from roll.Peer, run uint64, held []share.Holdings, now time.Duration) []share.Grants {
-	zones, division := d.sharers(now), d.division(now)
+	terms := share.Terms{Zones: d.sharers(now), Division: d.division(now)}
+	terms.VMs, terms.Unheard = d.state.Sharers()
 	out := make([]share.Grants, share.Sources)
 	keeps := d.state.Record.Keeps(from.Name)
 	for s, h := range held {
@@ -61,7 +62,7 @@
 		}
 		if s < len(out) {
 			r := share.Report{VM: from.Name, Source: share.Source(s), Zone: from.Zone, Run: run, Holdings: h}
-			out[s] = d.pool.Renew(r, zones, division, now)
+			out[s] = d.pool.Renew(r, terms, now)
 		}
 	}
 	return out
--- a/fleet/rates.go
+++ b/fleet/rates.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"cmp"
 	"encoding/binary"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,8 +35,8 @@
 )
 
 // rates admits operations of teams. Each team has one keeper in each zone, which
-// holds the zone's share of the team's rate, and one in the fleet, which holds the
-// reserve: a share for each VM would be less than an operation a second in a large
+// holds the zone's share of the team's rate, and two in the fleet, which hold
+// reserves: a share for each VM would be less than an operation a second in a large
 // fleet.
 type rates struct {
 	vm *VM
@@ -54,8 +56,8 @@
 
 // keepers are the VMs that keep a team's rate, as one VM sees it.
 type keepers struct {
-	zone    []roll.Peer // of this VM's zone, the first one that answers
-	reserve roll.Peer
+	zone     []roll.Peer // of this VM's zone, the first one that answers
+	reserves []roll.Peer // the reserve's, and the spare one's
 }
 
 // of returns a team's keepers. They are worked out once for each view of the VMs and
@@ -85,50 +87,56 @@
 	return k
 }
 
-// seat chooses a team's keepers by rendezvous hashing. Hashes are those of the
-// peers' names.
+// seat chooses a team's keepers by rendezvous hashing. Hashes are those of the peers'
+// names. Reserves are kept by VMs that are not the first in their zone: no VM should
+// hold much of an allowance.
 func seat(peers []roll.Peer, hashes []uint64, zone, team string) keepers {
 	var pair [16]byte
 	binary.LittleEndian.PutUint64(pair[8:], xxhash.Sum64String(team))
-	var k keepers
-	var scores [keepersKnown]uint64
-	best := uint64(0)
+	list := make([]ranked, 0, len(peers))
 	for i, p := range peers {
 		binary.LittleEndian.PutUint64(pair[:], hashes[i])
-		score := xxhash.Sum64(pair[:])
-		// The other half of the order: a VM that keeps a zone's share is not more
-		// likely to keep the reserve as well.
-		if s := ^score; s > best {
-			best, k.reserve = s, p
-		}
-		if p.Zone != zone {
-			continue
-		}
-		at := len(k.zone)
-		for at > 0 && score > scores[at-1] {
-			at--
-		}
-		if at == keepersKnown {
-			continue
+		list = append(list, ranked{p, xxhash.Sum64(pair[:])})
+	}
+	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
+	var k keepers
+	var rest, firsts []roll.Peer
+	seen := make(map[string]bool)
+	for _, r := range list {
+		if r.Zone == zone && len(k.zone) < keepersKnown {
+			k.zone = append(k.zone, r.Peer)
 		}
-		if len(k.zone) < keepersKnown {
-			k.zone = append(k.zone, roll.Peer{})
+		if seen[r.Zone] {
+			rest = append(rest, r.Peer)
+		} else {
+			firsts = append(firsts, r.Peer)
 		}
-		copy(k.zone[at+1:], k.zone[at:])
-		copy(scores[at+1:], scores[at:])
-		k.zone[at], scores[at] = p, score
+		seen[r.Zone] = true
 	}
+	slices.Reverse(firsts)
+	slices.Reverse(rest)
+	rest = append(rest, firsts...)
+	k.reserves = rest[:min(len(rest), int(share.Sources-1))]
 	return k
 }
 
+// ranked is a VM with its place in the order of one team.
+type ranked struct {
+	roll.Peer
+	score uint64
+}
+
 // keeperOf returns the VM to ask for a team's operation, of those that are not
 // passed over. It reports false if there is none.
 func (r *rates) keeperOf(team string, s share.Source, now time.Duration) (roll.Peer, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	k := r.of(team)
-	if s == share.Reserve {
-		return k.reserve, k.reserve.Name != "" && now >= r.avoid[k.reserve.Name]
+	if s != share.Zone {
+		if i := int(s - share.Reserve); i < len(k.reserves) {
+			return k.reserves[i], now >= r.avoid[k.reserves[i].Name]
+		}
+		return roll.Peer{}, false
 	}
 	for _, p := range k.zone {
 		if now >= r.avoid[p.Name] {
@@ -154,14 +162,18 @@
 // decide asks the team's keepers for one operation.
 func (r *rates) decide(team string, l pollendoor.TeamLimit, again bool) (time.Duration, share.Verdict) {
 	last := share.Over
-	for _, q := range share.Questions() {
-		q.Again = q.Again || again
+	questions := share.Questions()
+	for i := 0; i < len(questions); i++ {
+		q := questions[i]
+		q.Again, q.Dry = q.Again || again, q.Dry && last == share.Over
 		wait, verdict := r.put(team, l, q)
-		if verdict == share.Granted {
+		switch verdict {
+		case share.Granted:
 			return wait, verdict
-		}
-		if verdict == share.Unshared {
+		case share.Unshared:
 			last = share.Unshared
+		case share.Dry:
+			i = max(i, len(questions)-2) // straight to the last one
 		}
 	}
 	return 0, last
@@ -180,8 +192,8 @@
 			return a.Wait, a.Verdict
 		}
 		r.shun(k.Name, now)
-		v.Log.Info().Str("keeper", k.Name).Str("team", team).Bool("reserve", q.Source == share.Reserve).Msg("keeper of a rate not reached")
-		if q.Source == share.Reserve {
+		v.Log.Info().Str("keeper", k.Name).Str("team", team).Bool("reserve", q.Source != share.Zone).Msg("keeper of a rate not reached")
+		if q.Source != share.Zone {
 			return 0, share.Over // nobody else may grant its operations
 		}
 	}
@@ -219,7 +231,7 @@
 		r.mu.Unlock()
 	}()
 	timeout := zoneTimeout
-	if q.Source == share.Reserve {
+	if q.Source != share.Zone {
 		timeout = reserveTimeout
 	}
 	for range keeperTries {
--- a/reign/duty.go
+++ b/reign/duty.go
@@ -368,16 +368,8 @@
 // Complete reports whether every VM that may hold shares of rates has been heard since
 // the claim.
 func (d *Duty) Complete() bool {
-	list := d.Record.Keepers
-	if len(list) == 0 {
-		list = d.Record.Members
-	}
-	for _, name := range list {
-		if name != d.Self && d.members[name] == nil {
-			return false
-		}
-	}
-	return true
+	_, unheard := d.Sharers()
+	return unheard == 0
 }
 
 // Cause says why a primary is replaced; empty for no cause.
--- a/reign/keeper.go
+++ b/reign/keeper.go
@@ -49,6 +49,21 @@
 	return list, !slices.Equal(list, d.Record.Keepers)
 }
 
+// Sharers returns the number of VMs that may hold shares of rates, and of those that
+// have not been heard since the claim.
+func (d *Duty) Sharers() (all, unheard int) {
+	list := d.Record.Keepers
+	if len(list) == 0 {
+		list = d.Record.Members
+	}
+	for _, name := range list {
+		if name != d.Self && d.members[name] == nil {
+			unheard++
+		}
+	}
+	return len(list), unheard
+}
+
 func (d *Duty) zone(vm string) string {
 	if m := d.members[vm]; m != nil {
 		return m.zone
--- a/share/bucket.go
+++ b/share/bucket.go
@@ -50,6 +50,7 @@
 const (
 	Zone    Source = iota // the share of its zone
 	Reserve               // the part of the team's allowance that is kept for all zones
+	Spare                 // another such part, kept by another VM
 	Sources               // their number
 )
 
@@ -58,14 +59,16 @@
 	Source   Source        `cbor:"1,keyasint,omitempty"`
 	Patience time.Duration `cbor:"2,keyasint,omitempty"` // the longest wait for the token
 	Again    bool          `cbor:"3,keyasint,omitempty"` // the operation has been counted as demand before
+	Dry      bool          `cbor:"4,keyasint,omitempty"` // the reserves had no token for it
 }
 
 // Questions returns what an operation asks, in this order, until one is granted.
 func Questions() []Question {
 	return []Question{
 		{Source: Zone, Patience: nearWait},
-		{Source: Reserve, Patience: MaxWait},
-		{Source: Zone, Patience: MaxWait, Again: true},
+		{Source: Reserve, Patience: 2 * nearWait},
+		{Source: Spare, Patience: MaxWait},
+		{Source: Zone, Patience: MaxWait, Again: true, Dry: true},
 	}
 }
 
@@ -115,8 +118,13 @@
 	Over     Verdict = iota // the team is over its rate
 	Granted                 // the operation may run
 	Unshared                // undecided: this VM's share is on its way
+	Dry                     // over, and the reserves had no token a moment ago
 )
 
+// dryTime is how long reserves count as empty after an operation found them so: it
+// bounds what a team far beyond its rate asks for in other regions.
+const dryTime = 200 * time.Millisecond
+
 // bucket is one team's tokens at a VM.
 type bucket struct {
 	share  float64
@@ -129,6 +137,7 @@
 	used   time.Duration
 	kept   bool          // this VM asks for a share
 	keeps  time.Duration // since when
+	dry    time.Duration // until then the reserves count as empty
 }
 
 // Buckets admits operations at one VM. The zero value admits by the slack only.
@@ -200,7 +209,13 @@
 	if !q.Again {
 		t.asked++
 	}
-	if !ok {
+	if q.Dry && !ok {
+		t.dry = now + dryTime
+	}
+	switch {
+	case !ok && now < t.dry:
+		return 0, Dry
+	case !ok:
 		return 0, Over
 	}
 	t.tokens--
--- a/share/large_test.go
+++ b/share/large_test.go
@@ -71,12 +71,15 @@
 	pool      *share.Pool
 	division  func(now time.Duration) share.Division
 	zones     []*keeperVM
-	reserve   *keeperVM
+	reserves  [2]*keeperVM
+	unheard   int // keepers that the holder has not heard
 	questions []share.Question
 
 	asked, refused int
 	late           int // refusals in the time that counts
 	counted        int
+	meanwhile      int // refusals between the fault and that time
+	during         int // operations then
 	countFrom      time.Duration
 	admitted       []time.Duration
 }
@@ -113,7 +116,10 @@
 		}
 		held, seq := k.buckets.Report(now)
 		r.at(now+regionDelay, func(at time.Duration) {
-			grants := r.pool.Renew(share.Report{VM: k.name, Source: source, Zone: fmt.Sprint(zone), Run: k.run, Holdings: share.Holdings{Teams: held, Seq: seq}}, largeZones, r.division(at), at)
+			if r.pool == nil {
+				return // the holder is lost
+			}
+			grants := r.pool.Renew(share.Report{VM: k.name, Source: source, Zone: fmt.Sprint(zone), Run: k.run, Holdings: share.Holdings{Teams: held, Seq: seq}}, share.Terms{Zones: largeZones, VMs: 18, Division: r.division(at), Unheard: r.unheard}, at)
 			r.at(at+regionDelay, func(back time.Duration) { k.buckets.Adopt(grants.Amounts, grants.Seq, limits, now, back) })
 		})
 	}
@@ -135,17 +141,19 @@
 			r.refused++
 			if begun >= r.countFrom {
 				r.late++
+			} else if begun >= faultAt {
+				r.meanwhile++
 			}
 			return
 		}
 		q := r.questions[i]
 		q.Again = q.Again || again
 		k, delay := r.zones[zone], zoneDelay
-		if q.Source == share.Reserve {
-			k, delay = r.reserve, regionDelay
+		if q.Source != share.Zone {
+			k, delay = r.reserves[q.Source-share.Reserve], regionDelay
 		}
 		r.at(now+delay, func(at time.Duration) {
-			if k.dead || q.Source == share.Reserve && (at < k.cutTill || at < r.zones[zone].cutTill) {
+			if k.dead || q.Source != share.Zone && (at < k.cutTill || at < r.zones[zone].cutTill) {
 				r.at(at+delay, func(back time.Duration) { try(i+1, unshared, again, back) })
 				return
 			}
@@ -154,11 +162,17 @@
 				r.admitted = append(r.admitted, at+delay+wait)
 				return
 			}
-			r.at(at+delay, func(back time.Duration) { try(i+1, unshared || verdict == share.Unshared, again, back) })
+			next := i + 1
+			if verdict == share.Dry {
+				next = max(next, len(r.questions)-1)
+			}
+			r.at(at+delay, func(back time.Duration) { try(next, unshared || verdict == share.Unshared, again, back) })
 		})
 	}
 	if begun >= r.countFrom {
 		r.counted++
+	} else if begun >= faultAt {
+		r.during++
 	}
 	try(0, false, false, now)
 }
@@ -216,16 +230,37 @@
 				k.dead = true
 				r.zones[i] = r.keeper(k.name, k.run+1, share.Zone, i, now)
 			}
-			r.reserve.dead = true
-			r.reserve = r.keeper(r.reserve.name, r.reserve.run+1, share.Reserve, 0, now)
+			for i, k := range r.reserves {
+				k.dead = true
+				r.reserves[i] = r.keeper(k.name, k.run+1, share.Reserve+share.Source(i), 0, now)
+			}
+		}, countFrom: settled},
+		{name: "all VMs start, one of the keepers never comes back", demand: 1, fault: func(r *teamRun, now time.Duration) {
+			r.pool, r.unheard = &share.Pool{Reserves: true}, 1
+			r.division = func(at time.Duration) share.Division {
+				if at < now+share.Life {
+					return share.Known
+				}
+				return share.Whole
+			}
+			for i, k := range r.zones {
+				k.dead = true
+				r.zones[i] = r.keeper(k.name, k.run+1, share.Zone, i, now)
+			}
+			for i, k := range r.reserves {
+				k.dead = true
+				r.reserves[i] = r.keeper(k.name, k.run+1, share.Reserve+share.Source(i), 0, now)
+			}
+			r.zones[2].dead = true
+			r.at(now+1200*time.Millisecond, func(at time.Duration) { r.zones[2] = r.keeper("next", 1, share.Zone, 2, at) })
 		}, countFrom: settled},
 		{name: "a zone's keeper is lost", demand: 1, fault: func(r *teamRun, now time.Duration) {
 			r.zones[0].dead = true
 			r.at(now+1200*time.Millisecond, func(at time.Duration) { r.zones[0] = r.keeper("next", 1, share.Zone, 0, at) })
 		}, countFrom: settled},
 		{name: "the reserve's keeper is lost", demand: 1, fault: func(r *teamRun, now time.Duration) {
-			r.reserve.dead = true
-			r.at(now+1200*time.Millisecond, func(at time.Duration) { r.reserve = r.keeper("next", 1, share.Reserve, 0, at) })
+			r.reserves[0].dead = true
+			r.at(now+1200*time.Millisecond, func(at time.Duration) { r.reserves[0] = r.keeper("next", 1, share.Reserve, 0, at) })
 		}, countFrom: settled},
 		{name: "the holder is lost", demand: 1, fault: func(r *teamRun, now time.Duration) {
 			r.pool = &share.Pool{Reserves: true}
@@ -236,6 +271,30 @@
 				return share.Whole
 			}
 		}, countFrom: settled},
+		{name: "the holder is lost with two keepers, and the next one after 3 s", demand: 1, fault: func(r *teamRun, now time.Duration) {
+			r.zones[0].dead = true
+			next := func(at time.Duration) {
+				r.pool = &share.Pool{Reserves: true}
+				r.division = func(t time.Duration) share.Division {
+					switch {
+					case t < at+100*time.Millisecond:
+						return share.Held
+					case t < at+share.Life:
+						return share.Known
+					}
+					return share.Whole
+				}
+			}
+			r.pool, r.unheard = nil, 1
+			r.at(now+1500*time.Millisecond, next)
+			r.at(now+3*time.Second, func(at time.Duration) {
+				r.reserves[0].dead = true
+				r.pool, r.unheard = nil, 2
+			})
+			r.at(now+4500*time.Millisecond, next)
+			r.at(now+2*time.Second, func(at time.Duration) { r.zones[0] = r.keeper("next", 1, share.Zone, 0, at) })
+			r.at(now+5*time.Second, func(at time.Duration) { r.reserves[0] = r.keeper("other", 1, share.Reserve, 0, at) })
+		}, countFrom: settled + 5*time.Second},
 		{name: "two zones are cut off", demand: 1, fault: func(r *teamRun, now time.Duration) {
 			r.zones[0].cutTill, r.zones[1].cutTill = now+4*time.Second, now+4*time.Second
 		}, countFrom: settled + 4*time.Second},
@@ -250,6 +309,7 @@
 	for _, tc := range largeCases() {
 		t.Run(tc.name, func(t *testing.T) {
 			late, counted, worst := 0, 0, 0.0
+			meanwhile, during := 0, 0
 			for n := range largeTeams {
 				rate := math.Ceil(largestRate * math.Pow(float64(n+1), -largeSkew))
 				r := &teamRun{
@@ -260,13 +320,16 @@
 				for i := range largeZones {
 					r.zones = append(r.zones, r.keeper(fmt.Sprint("zone", i), 1, share.Zone, i, 0))
 				}
-				r.reserve = r.keeper("reserve", 1, share.Reserve, 0, 0)
+				for i := range r.reserves {
+					r.reserves[i] = r.keeper(fmt.Sprint("reserve", i), 1, share.Reserve+share.Source(i), 0, 0)
+				}
 				r.callers(rate / headroom * tc.demand)
 				if tc.fault != nil {
 					r.at(faultAt, func(now time.Duration) { tc.fault(r, now) })
 				}
 				r.play(largeLength)
 				late, counted = late+r.late, counted+r.counted
+				meanwhile, during = meanwhile+r.meanwhile, during+r.during
 				worst = max(worst, r.busiest())
 			}
 			if worst > 1 {
@@ -275,7 +338,7 @@
 			if got := float64(late) / float64(max(1, counted)); got > wrongfulMost {
 				t.Errorf("got %.5f of %d operations refused below the limit, want at most %g", got, counted, wrongfulMost)
 			}
-			t.Logf("refused %d of %d, busiest window %.2f of the limit", late, counted, worst)
+			t.Logf("refused %d of %d, and %d of %d until the fault was over; busiest window %.2f of the limit", late, counted, meanwhile, during, worst)
 		})
 	}
 }
--- a/share/pool.go
+++ b/share/pool.go
@@ -22,12 +22,20 @@
 	step = 0.03
 	// reserveMost and reserveLeast are the parts of an allowance that are kept in
 	// reserve for a team without any demand, and for one with a very large one.
-	reserveMost, reserveLeast = 0.6, 0.1
+	reserveMost, reserveLeast = 0.6, 0.3
 	// reserveDemand is the demand of a zone, in operations a second, at which the
 	// reserve is half-way between the two.
 	reserveDemand = 8.0
+	// vmMost is the part of an allowance that one VM holds at most, of CappedFleet VMs
+	// or more: the next holder knows at once that this is all that a VM which it has
+	// not heard may use.
+	vmMost = 0.35
 )
 
+// CappedFleet is the number of VMs from which on no VM holds more than a part of an
+// allowance.
+const CappedFleet = 5
+
 // grant is an amount that a VM may be using.
 type grant struct {
 	seq    uint64
@@ -97,7 +105,7 @@
 
 // Pool is the duty holder's account of all shares. The zero value is empty.
 type Pool struct {
-	// Reserves says that one VM of the fleet keeps a reserve of each team.
+	// Reserves says that two VMs of the fleet keep a reserve of each team.
 	Reserves bool
 
 	teams map[string]*account
@@ -152,8 +160,16 @@
 	Holdings
 }
 
-// Renew takes a VM's report and returns its shares. Live is how many zones share.
-func (p *Pool) Renew(r Report, live int, div Division, now time.Duration) Grants {
+// Terms are what a holder knows of those that share.
+type Terms struct {
+	Zones    int // with VMs
+	VMs      int // that may hold shares
+	Division Division
+	Unheard  int // VMs that may hold shares of an earlier holder, and have not told
+}
+
+// Renew takes a VM's report and returns its shares.
+func (p *Pool) Renew(r Report, by Terms, now time.Duration) Grants {
 	if p.teams == nil {
 		p.teams = make(map[string]*account)
 	}
@@ -179,8 +195,8 @@
 		own.demand, own.heard = h.Demand, now
 		own.grants = slices.DeleteFunc(own.grants, func(g grant) bool { return g.seq < r.Seq })
 		own.counted = min(own.counted, own.outstanding(now)) // what it has given back stays in the budget
-		a.freeze(div == Frozen, now)
-		amount := a.amount(own, live, p.Reserves, div, now)
+		a.freeze(by.Division == Frozen, now)
+		amount := a.amount(own, sharer{r.VM, r.Source}, p.Reserves, by, now)
 		own.grants = append(own.grants, grant{seq: p.seq, amount: amount, until: now + Life})
 		own.counted = own.outstanding(now)
 		out[team] = amount
@@ -257,13 +273,17 @@
 }
 
 // amount decides the share of a VM.
-func (a *account) amount(own *holding, live int, reserves bool, div Division, now time.Duration) float64 {
-	demand, others, before := 0.0, 0.0, 0.0
+func (a *account) amount(own *holding, self sharer, reserves bool, by Terms, now time.Duration) float64 {
+	div := by.Division
+	demand, others, before, same := 0.0, 0.0, 0.0, 0.0
 	reporting := 0
 	for s, h := range a.vms {
 		if h != own {
 			held := h.outstanding(now)
 			others += held
+			if s.vm == self.vm {
+				same += held
+			}
 			if div == Whole && held == 0 && !h.reports(now) {
 				delete(a.vms, s) // VMs come and go
 			}
@@ -289,10 +309,13 @@
 		// All that the earlier holder granted summed to one at most; what is not
 		// with the VMs that have reported may be with the others.
 		whole = min(1, before)
+		if capped := reserves && by.VMs > CappedFleet; div == Known && capped {
+			whole = max(whole, 1-vmMost*float64(by.Unheard))
+		}
 	case Frozen:
 		whole = a.budget
 	}
-	live = max(1, live)
+	live := max(1, by.Zones)
 	kept := 0.0
 	if reserves {
 		kept = whole * reserve(demand/float64(live))
@@ -301,14 +324,17 @@
 	want := (whole - kept) / float64(live)
 	complete := demand > 0 && reporting >= live // before, the first ones would get it all
 	switch {
-	case own.source == Reserve:
-		want = kept
+	case own.source != Zone:
+		want = kept / float64(Sources-1)
 	case complete:
 		want = (whole - kept) * (even/float64(live) + (1-even)*own.expected(now)/demand)
 	}
 	if div != Whole && !complete {
 		want = max(current, want)
 	}
+	if reserves && by.VMs >= CappedFleet {
+		want = max(0, min(want, vmMost-same))
+	}
 	sum := current + others
 	if d := want - current; d < step && d > -step && sum <= whole && sum > whole-step {
 		return current
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -31,7 +31,7 @@
 	for range 40 {
 		now += 100 * time.Millisecond
 		for vm, demand := range map[string]float64{"a": 40, "b": 1, "c": 0} {
-			got := p.Renew(share.Report{VM: vm, Holdings: share.Holdings{Seq: seq[vm], Teams: held(amounts[vm], share.Life, demand)}}, 3, share.Whole, now)
+			got := p.Renew(share.Report{VM: vm, Holdings: share.Holdings{Seq: seq[vm], Teams: held(amounts[vm], share.Life, demand)}}, share.Terms{Zones: 3, Division: share.Whole}, now)
 			amounts[vm], seq[vm] = got.Amounts["t"], got.Seq
 		}
 	}
@@ -46,12 +46,12 @@
 // A new duty holder does not know what the VMs that it has not heard may use.
 func TestNewHolderDividesOnlyWhatWasHeld(t *testing.T) {
 	var p share.Pool
-	a := p.Renew(share.Report{VM: "a", Holdings: share.Holdings{Teams: held(0.3, 0, 10)}}, 3, share.Known, time.Second)
-	b := p.Renew(share.Report{VM: "b", Holdings: share.Holdings{Teams: held(0.2, time.Second, 10)}}, 3, share.Known, time.Second)
+	a := p.Renew(share.Report{VM: "a", Holdings: share.Holdings{Teams: held(0.3, 0, 10)}}, share.Terms{Zones: 3, Division: share.Known}, time.Second)
+	b := p.Renew(share.Report{VM: "b", Holdings: share.Holdings{Teams: held(0.2, time.Second, 10)}}, share.Terms{Zones: 3, Division: share.Known}, time.Second)
 	if got, most := a.Amounts["t"]+b.Amounts["t"], 0.5; got > most+1e-9 || got < 0.3 {
 		t.Errorf("got %.2f together, want up to %.2f", got, most)
 	}
-	c := p.Renew(share.Report{VM: "c", Run: 2, Holdings: share.Holdings{Teams: held(0, 0, 10)}}, 3, share.Known, time.Second)
+	c := p.Renew(share.Report{VM: "c", Run: 2, Holdings: share.Holdings{Teams: held(0, 0, 10)}}, share.Terms{Zones: 3, Division: share.Known}, time.Second)
 	if got := a.Amounts["t"] + b.Amounts["t"] + c.Amounts["t"]; got > 0.5+1e-9 {
 		t.Errorf("got %.2f with a VM that held nothing, want at most 0.5", got)
 	}
@@ -60,9 +60,9 @@
 // What a killed process held is free as soon as its successor reports.
 func TestRestartFreesShares(t *testing.T) {
 	var p share.Pool
-	p.Renew(share.Report{VM: "a", Run: 1, Holdings: share.Holdings{Teams: held(0, 0, 10)}}, 1, share.Whole, time.Second)
-	p.Renew(share.Report{VM: "a", Run: 2, Holdings: share.Holdings{Teams: held(0, 0, 0)}}, 2, share.Whole, time.Second)
-	got := p.Renew(share.Report{VM: "b", Run: 3, Holdings: share.Holdings{Teams: held(0, 0, 10)}}, 2, share.Whole, time.Second)
+	p.Renew(share.Report{VM: "a", Run: 1, Holdings: share.Holdings{Teams: held(0, 0, 10)}}, share.Terms{Zones: 1, Division: share.Whole}, time.Second)
+	p.Renew(share.Report{VM: "a", Run: 2, Holdings: share.Holdings{Teams: held(0, 0, 0)}}, share.Terms{Zones: 2, Division: share.Whole}, time.Second)
+	got := p.Renew(share.Report{VM: "b", Run: 3, Holdings: share.Holdings{Teams: held(0, 0, 10)}}, share.Terms{Zones: 2, Division: share.Whole}, time.Second)
 	if least := 0.3; got.Amounts["t"] < least {
 		t.Errorf("got %.2f, want at least %.2f", got.Amounts["t"], least)
 	}
@@ -88,7 +88,7 @@
 				*v = vm{run: v.run + 1}
 			}
 			r := share.Report{VM: fmt.Sprint(i), Run: v.run, Holdings: share.Holdings{Seq: v.seq, Teams: held(v.amount, max(0, v.until-now), rapid.Float64Range(0, 100).Draw(t, "demand"))}}
-			got := p.Renew(r, 3, share.Whole, now)
+			got := p.Renew(r, share.Terms{Zones: 3, Division: share.Whole}, now)
 			if rapid.IntRange(0, 2).Draw(t, "lost") > 0 {
 				v.amount, v.until, v.seq = got.Amounts["t"], now+share.Life, got.Seq
 			}
@@ -122,7 +122,7 @@
 			if now%(400*time.Millisecond) == 0 {
 				for i := range buckets {
 					h, seq := buckets[i].Report(now)
-					got := p.Renew(share.Report{VM: fmt.Sprint(i), Holdings: share.Holdings{Teams: h, Seq: seq}}, vms, share.Whole, now)
+					got := p.Renew(share.Report{VM: fmt.Sprint(i), Holdings: share.Holdings{Teams: h, Seq: seq}}, share.Terms{Zones: vms, Division: share.Whole}, now)
 					if rapid.IntRange(0, 4).Draw(t, "lost") > 0 {
 						buckets[i].Adopt(got.Amounts, got.Seq, limits, now, now)
 					}
@@ -160,7 +160,7 @@
 	old.Know(limits, 0)
 	renew := func(now time.Duration) float64 {
 		h, seq := old.Report(now)
-		got := p.Renew(share.Report{VM: "old", Holdings: share.Holdings{Teams: h, Seq: seq}}, 1, share.Whole, now)
+		got := p.Renew(share.Report{VM: "old", Holdings: share.Holdings{Teams: h, Seq: seq}}, share.Terms{Zones: 1, Division: share.Whole}, now)
 		old.Adopt(got.Amounts, got.Seq, limits, now, now)
 		return got.Amounts["t"]
 	}
@@ -169,7 +169,7 @@
 	}
 	old.Know(nil, 2*time.Second)
 	renew(2 * time.Second)
-	got := p.Renew(share.Report{VM: "new", Holdings: share.Holdings{Teams: held(0, 0, 10)}}, 1, share.Whole, 2*time.Second)
+	got := p.Renew(share.Report{VM: "new", Holdings: share.Holdings{Teams: held(0, 0, 10)}}, share.Terms{Zones: 1, Division: share.Whole}, 2*time.Second)
 	if got.Amounts["t"] < 0.99 {
 		t.Errorf("got %.2f for the next keeper, want all", got.Amounts["t"])
 	}
@@ -217,7 +217,7 @@
 func TestFirstSharesAreEven(t *testing.T) {
 	var p share.Pool
 	for i, demand := range []float64{30, 0, 20} {
-		got := p.Renew(share.Report{VM: fmt.Sprint(i), Run: uint64(i), Holdings: share.Holdings{Teams: held(0, 0, demand)}}, 3, share.Whole, time.Second)
+		got := p.Renew(share.Report{VM: fmt.Sprint(i), Run: uint64(i), Holdings: share.Holdings{Teams: held(0, 0, demand)}}, share.Terms{Zones: 3, Division: share.Whole}, time.Second)
 		if got.Amounts["t"] < 0.3 {
 			t.Errorf("VM %d: got %.2f at first, want about a third", i, got.Amounts["t"])
 		}
@@ -277,13 +277,13 @@
 		{"keeper before", "b", 0.4, 0, 0.1},
 		{"keeper after it", "c", 0, 0, 0},
 	} {
-		got := p.Renew(share.Report{VM: tc.vm, Run: uint64(i + 1), Holdings: share.Holdings{Teams: held(tc.amount, tc.left, 10)}}, 3, share.Known, time.Second)
+		got := p.Renew(share.Report{VM: tc.vm, Run: uint64(i + 1), Holdings: share.Holdings{Teams: held(tc.amount, tc.left, 10)}}, share.Terms{Zones: 3, Division: share.Known}, time.Second)
 		if got.Amounts["t"] < tc.least {
 			t.Errorf("%s: got %.2f, want at least %.2f", tc.name, got.Amounts["t"], tc.least)
 		}
 	}
-	p.Renew(share.Report{VM: "b", Run: 2, Holdings: share.Holdings{Teams: map[string]share.Holding{"t": {Released: true}}}}, 3, share.Known, time.Second)
-	got := p.Renew(share.Report{VM: "c", Run: 3, Holdings: share.Holdings{Teams: held(0, 0, 10)}}, 3, share.Known, time.Second)
+	p.Renew(share.Report{VM: "b", Run: 2, Holdings: share.Holdings{Teams: map[string]share.Holding{"t": {Released: true}}}}, share.Terms{Zones: 3, Division: share.Known}, time.Second)
+	got := p.Renew(share.Report{VM: "c", Run: 3, Holdings: share.Holdings{Teams: held(0, 0, 10)}}, share.Terms{Zones: 3, Division: share.Known}, time.Second)
 	if got.Amounts["t"] < 0.3-1e-9 {
 		t.Errorf("got %.2f of the 0.4 that were given up, want 0.3, a third of the whole that is known", got.Amounts["t"])
 	}
@@ -298,7 +298,7 @@
 	renew := func(vm, zone string, run uint64, amount, demand float64, released bool) float64 {
 		got := p.Renew(share.Report{VM: vm, Zone: zone, Run: run, Holdings: share.Holdings{Teams: map[string]share.Holding{
 			"t": {Amount: amount, Left: share.Life, Demand: demand, Released: released},
-		}}}, 2, share.Whole, now)
+		}}}, share.Terms{Zones: 2, Division: share.Whole}, now)
 		return got.Amounts["t"]
 	}
 	renew("a", "north", 1, 0, 30, false)
@@ -327,7 +327,7 @@
 // cca-pollendoor trouble-3 refused for 3 s what nobody else could have admitted).
 func TestTwoHoldersDivideOneAllowance(t *testing.T) {
 	renew := func(p *share.Pool, vm string, h share.Holding, div share.Division) float64 {
-		got := p.Renew(share.Report{VM: vm, Zone: vm, Holdings: share.Holdings{Teams: map[string]share.Holding{"t": h}}}, 2, div, time.Second)
+		got := p.Renew(share.Report{VM: vm, Zone: vm, Holdings: share.Holdings{Teams: map[string]share.Holding{"t": h}}}, share.Terms{Zones: 2, Division: div}, time.Second)
 		return got.Amounts["t"]
 	}
 	for _, tc := range []struct {
@@ -364,7 +364,7 @@
 		amounts, seqs := make(map[string]float64), make(map[string]uint64)
 		renew := func(vm string, demand float64, div share.Division) {
 			r := share.Report{VM: vm, Zone: vm, Holdings: share.Holdings{Seq: seqs[vm], Teams: held(amounts[vm], share.Life, demand)}}
-			got := p.Renew(r, 3, div, now)
+			got := p.Renew(r, share.Terms{Zones: 3, Division: div}, now)
 			amounts[vm], seqs[vm] = got.Amounts["t"], got.Seq
 		}
 		for range 10 {
@@ -428,7 +428,7 @@
 				source = share.Reserve
 			}
 			r := share.Report{VM: fmt.Sprint(i), Source: source, Zone: fmt.Sprint(i), Run: v.run, Holdings: share.Holdings{Seq: v.seq, Teams: h}}
-			got := pools[side].Renew(r, 3, div, now)
+			got := pools[side].Renew(r, share.Terms{Zones: 3, Division: div}, now)
 			if rapid.IntRange(0, 3).Draw(t, "lost") > 0 {
 				v.amount, v.until, v.seq = got.Amounts["t"], now+share.Life, got.Seq
 			}
@@ -448,3 +448,71 @@
 		}
 	})
 }
+
+// All VMs, or some of them, are lost with the holder: the next one has to reckon with
+// what those may hold that it has not heard, and no more. What is in use never exceeds
+// the whole.
+func TestNextHolderReckonsWithWhatOneVMMayHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type vm struct {
+			amount float64
+			until  time.Duration
+			seq    uint64
+			run    uint64
+			heard  bool // by the next holder
+			silent bool
+		}
+		const zones, all = 4, 6
+		vms := make([]vm, all)
+		old, next := share.Pool{Reserves: true}, share.Pool{Reserves: true}
+		lost := time.Duration(rapid.IntRange(1000, 5000).Draw(t, "lost")) * time.Millisecond
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond
+			i := rapid.IntRange(0, all-1).Draw(t, "vm")
+			v := &vms[i]
+			if now > lost && !v.heard && !v.silent {
+				v.silent = rapid.IntRange(0, 5).Draw(t, "silent") == 0
+			}
+			if v.silent {
+				continue // it uses its share until it lapses
+			}
+			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+				*v = vm{run: v.run + 1, heard: v.heard}
+			}
+			p, terms := &old, share.Terms{Zones: zones, VMs: all, Division: share.Whole}
+			if now > lost {
+				if !v.heard {
+					v.heard, v.seq = true, 0
+				}
+				p, terms.Division = &next, share.Known
+				for _, o := range vms {
+					if !o.heard {
+						terms.Unheard++
+					}
+				}
+				if terms.Unheard == 0 || now > lost+share.Life {
+					terms.Division = share.Whole
+				}
+			}
+			source := share.Zone
+			if i >= zones {
+				source = share.Reserve + share.Source(i-zones)
+			}
+			h := held(v.amount, max(0, v.until-now), rapid.Float64Range(0, 50).Draw(t, "demand"))
+			got := p.Renew(share.Report{VM: fmt.Sprint(i), Source: source, Zone: fmt.Sprint(i), Run: v.run, Holdings: share.Holdings{Seq: v.seq, Teams: h}}, terms, now)
+			if rapid.IntRange(0, 4).Draw(t, "answered") > 0 {
+				v.amount, v.until, v.seq = got.Amounts["t"], now+share.Life, got.Seq
+			}
+			sum := 0.0
+			for _, o := range vms {
+				if o.until > now {
+					sum += o.amount
+				}
+			}
+			if sum > 1+1e-9 {
+				t.Fatalf("got %.3f of the allowance in use at %v, %v after the loss, want at most 1", sum, now, now-lost)
+			}
+		}
+	})
+}
