reign, logs, platform: a holder that a cut hid is left its duty; a panic ends one message, not the process

A VM that the store answers again waits a second now, if the holder has given signs there meanwhile. TestMayClaim has both cases; the first one claims on the code before.

--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -15,6 +15,7 @@
 
 	"github.com/pollendoor/pollendoor"
 	"github.com/pollendoor/pollendoor/clock"
+	"github.com/pollendoor/pollendoor/logs"
 	"github.com/pollendoor/pollendoor/reign"
 	"github.com/pollendoor/pollendoor/roll"
 	"github.com/pollendoor/pollendoor/sample"
@@ -78,6 +79,8 @@
 	wanted    reign.Stamp              // since when the holder of a token asks for promises, by this VM's clock
 	storeRead time.Duration            // start of this VM's last read of the record
 	storeOK   bool                     // it succeeded
+	storeBack time.Duration            // start of the first read that succeeded after one failed, zero if none has failed
+	storeLost bool                     // the last read failed
 	storeFrom time.Duration            // start of the first of the reads that succeeded since one failed
 	sign      uint64                   // the holder's last one at the store that this VM knows
 	signAt    time.Duration            // when it learned of it
@@ -309,6 +312,7 @@
 }
 
 func (b *beat) handle(p *packet, now time.Duration) {
+	defer logs.Guard(&b.vm.Log, "packet")
 	switch p.Kind {
 	case packetBeat:
 		b.heartbeatOf(p, now)
--- a/fleet/lanes.go
+++ b/fleet/lanes.go
@@ -14,6 +14,7 @@
 
 	"github.com/pollendoor/pollendoor"
 	"github.com/pollendoor/pollendoor/dial"
+	"github.com/pollendoor/pollendoor/logs"
 	"github.com/pollendoor/pollendoor/roll"
 )
 
@@ -211,6 +212,7 @@
 	s.serves[c] = struct{}{}
 	s.mu.Unlock()
 	l := newLane(s, c)
+	defer logs.Guard(&s.vm.Log, "lane")
 	var current pollendoor.Turn
 	defer func() {
 		s.finish(&current)
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -161,7 +161,10 @@
 // read notes the outcome of a read of the store that began at sent. The caller holds
 // mu.
 func (b *beat) read(sent time.Duration, ok bool) {
-	b.storeOK = ok
+	if ok && b.storeLost {
+		b.storeBack = sent
+	}
+	b.storeOK, b.storeLost = ok, !ok
 	if !ok {
 		b.storeFrom = 0
 	} else if b.storeFrom == 0 || sent-b.storeFrom > storeSeries {
--- a/fleet/takeover.go
+++ b/fleet/takeover.go
@@ -70,6 +70,9 @@
 	}
 	s.Store, s.StoreFor = b.storeOK && now-b.storeRead < tellAge, now-b.storeFrom
 	s.Sign = now - b.signAt
+	if b.storeBack > 0 {
+		s.Back = now - b.storeBack
+	}
 	if w := b.wanted.Echo(r.Token); w > 0 {
 		s.Without = now - w
 	}
--- /dev/null
+++ b/logs/guard_test.go
@@ -0,0 +1,26 @@
+package logs_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"github.com/pollendoor/pollendoor/logs"
+)
+
+func TestGuardLogsAPanic(t *testing.T) {
+	var out bytes.Buffer
+	log := zerolog.New(&out)
+	func() {
+		defer logs.Guard(&log, "packet")
+		var none map[string]int
+		none["x"] = 1
+	}()
+	for _, want := range []string{"packet given up", "nil map", "TestGuardLogsAPanic"} {
+		if got := out.String(); !strings.Contains(got, want) {
+			t.Errorf("got %.200q, want it to tell %q", got, want)
+		}
+	}
+}
--- a/reign/lease.go
+++ b/reign/lease.go
@@ -55,6 +55,10 @@
 // call.
 const lostSign = 1800 * time.Millisecond
 
+// returnTime is how long a VM that was cut off from the store leaves it to a holder that
+// has given signs there meanwhile to be heard again: some heartbeats.
+const returnTime = time.Second
+
 // strangerDelay is how much longer a VM waits that is no member: a takeover by it
 // has to wait longer, too, before it replaces a primary.
 const strangerDelay = 4 * time.Second
@@ -104,6 +108,7 @@
 	HeardByAt int             // of them, those that heard the holder lately
 	Without   time.Duration   // since the holder says that it does not reach the store
 	Store     bool            // this VM has reached the store just now
+	Back      time.Duration   // since it answered again after calls had failed, zero if none has
 	StoreFor  time.Duration   // since when it does
 	Sign      time.Duration   // since this VM learned of the holder's last sign at the store
 }
@@ -125,6 +130,9 @@
 		// powerful go first then, too.
 		return false
 	}
+	if s.Back > 0 && s.Back < returnTime && s.Sign < lostSign {
+		return false // it was this VM that was cut off
+	}
 	if s.Without > 0 && s.Store {
 		// It can neither promote nor learn of changes. Its leases end, as this VM
 		// has not promised anything.
--- a/reign/reign_test.go
+++ b/reign/reign_test.go
@@ -98,6 +98,16 @@
 			s.StoreFor = second
 		}), true},
 		{"store has just come back, another one's turn", with(func(s *reign.Sight) { s.Store, s.StoreFor = true, time.Millisecond }), false},
+		{"a cut has just healed in which the holder gave signs at the store", with(func(s *reign.Sight) {
+			s.Self, s.Record = "a", record("a", "b", "c")
+			s.Record.Holder = "c"
+			s.Store, s.StoreFor, s.Back, s.Sign = true, 10*time.Millisecond, 10*time.Millisecond, 10*time.Millisecond
+		}), false},
+		{"the store is back, and the holder gave no sign", with(func(s *reign.Sight) {
+			s.Self, s.Record = "a", record("a", "b", "c")
+			s.Record.Holder = "c"
+			s.Store, s.StoreFor, s.Back, s.Sign = true, 10*time.Millisecond, 10*time.Millisecond, 5*second
+		}), true},
 		{"holder and this VM without the store", with(func(s *reign.Sight) { s.Silent, s.HeardByAt, s.Without = 0, 1, 2*second }), false},
 		{"holder without the store for a moment", with(func(s *reign.Sight) { s.Silent, s.HeardByAt, s.Without, s.Store = 0, 1, 100*time.Millisecond, true }), false},
 		{"holder without the store, promised not to", with(func(s *reign.Sight) { s.Silent, s.Without, s.Store, s.NoClaim = 0, 2*second, true, 21*second }), false},
