roster, fleet: targets by what has changed, compressed

Each change of an entry made every VM fetch the whole list, up to four times, from its lead and then from the holder; each event copied the whole roster.

Change: a VM asks for what has changed since its revision and gets that, or all of it compressed; the events of one answer of the watch are taken together; groups are written down 512 at a time instead of 64.

roster TestDeltasLeadToTheSameEntries (lost, late, repeated deltas and lists between them) and TestOneChangeOfThousandsIsTold.

--- a/fleet/duty.go
+++ b/fleet/duty.go
@@ -39,7 +39,7 @@
 	maxMoves = 8
 	// maxFound bounds the groups that are written down for the first time by one
 	// write.
-	maxFound = 64
+	maxFound = 512
 )
 
 // errLost says that another VM holds the duty.
--- a/fleet/lanes.go
+++ b/fleet/lanes.go
@@ -41,16 +41,17 @@
 	Work    *pollendoor.Work `cbor:"1,keyasint,omitempty"`
 	Config  bool             `cbor:"2,keyasint,omitempty"`
 	Targets bool             `cbor:"3,keyasint,omitempty"`
+	Since   uint64           `cbor:"5,keyasint,omitempty"` // revision of the targets that the VM knows
 	Record  bool             `cbor:"4,keyasint,omitempty"`
 }
 
 // result is the answer to a call.
 type result struct {
-	Reply   *pollendoor.Reply       `cbor:"1,keyasint,omitempty"`
-	Config  []byte                  `cbor:"2,keyasint,omitempty"` // compressed
-	Targets []pollendoor.TargetInfo `cbor:"3,keyasint,omitempty"`
-	Record  *storedRecord           `cbor:"4,keyasint,omitempty"` // the newest that the VM knows
-	Listed  uint64                  `cbor:"5,keyasint,omitempty"` // revision of the targets
+	Reply   *pollendoor.Reply `cbor:"1,keyasint,omitempty"`
+	Config  []byte            `cbor:"2,keyasint,omitempty"` // compressed
+	Targets []byte            `cbor:"6,keyasint,omitempty"` // roster.Delta, compressed
+	Whole   bool              `cbor:"7,keyasint,omitempty"` // it has all of them
+	Record  *storedRecord     `cbor:"4,keyasint,omitempty"` // the newest that the VM knows
 }
 
 // lanes are the TCP connections between VMs. Each carries one turn at a time.
@@ -246,7 +247,7 @@
 			}
 			answer = flowConfig
 		case in.Targets:
-			out.Targets, out.Listed = s.vm.targets.Listed()
+			out.Targets, out.Whole = s.vm.packTargets(in.Since)
 			answer = flowTargets
 		case in.Record:
 			out.Record, answer = &storedRecord{Record: s.vm.lease.Load().Record}, flowRecord
--- a/fleet/news.go
+++ b/fleet/news.go
@@ -5,9 +5,13 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/pollendoor/pollendoor/clock"
 	"github.com/pollendoor/pollendoor/pack"
 	"github.com/pollendoor/pollendoor/roll"
+	"github.com/pollendoor/pollendoor/roster"
 )
 
 // listPause is the least time between two lists of the targets that a VM fetches
@@ -38,7 +42,7 @@
 	if late && own {
 		v.entries.nudge()
 	} else if !own && b.start(&b.listing) {
-		go b.catchUpTargets(from, p.Digest)
+		go b.catchUpTargets(from, p.Listed, p.Digest)
 	}
 }
 
@@ -105,34 +109,82 @@
 }
 
 // catchUpTargets takes the targets with a digest over from another VM.
-func (b *beat) catchUpTargets(from roll.Peer, digest uint64) {
+func (b *beat) catchUpTargets(from roll.Peer, listed, digest uint64) {
 	defer func() {
 		time.Sleep(listPause)
 		b.done(&b.listing)
 	}()
 	list := b.sources(from)
 	b.mu.Lock()
-	if b.differs > 0 && clock.Now()-b.differs > differPatience {
-		list = []roll.Peer{from} // the watcher does not know them either
-	}
+	wrong := b.differs > 0 && clock.Now()-b.differs > differPatience
 	b.mu.Unlock()
+	if wrong {
+		list = []roll.Peer{from} // the lead does not know them either
+	}
 	for i, p := range list {
 		if i > 0 {
 			time.Sleep(leadPause)
 		}
-		r, err := b.vm.lanes.ask(p, call{Targets: true})
+		since, _ := b.vm.targets.State()
+		if wrong {
+			since = 0
+		}
+		r, err := b.vm.lanes.ask(p, call{Targets: true, Since: since})
 		if err == nil && len(r.Targets) == 0 {
 			continue // it knows none yet
 		}
-		if err != nil {
+		var d roster.Delta
+		if err == nil {
+			d, err = unpackTargets(r.Targets)
+		}
+		switch {
+		case err != nil:
 			b.vm.Log.Warn().Err(err).Str("peer", p.Name).Msg("targets not fetched from another VM")
 			continue
+		case r.Whole:
+			b.vm.takeTargets(d.Changed, d.To, p.Name)
+		default:
+			b.vm.applyTargets(d, p.Name)
 		}
-		b.vm.takeTargets(r.Targets, r.Listed, p.Name)
-		if _, known := b.vm.targets.State(); known == digest {
+		revision, known := b.vm.targets.State()
+		if known == digest {
 			return
 		}
+		wrong = revision >= listed // it has all of that revision, and something else
+	}
+}
+
+// packTargets returns the targets for another VM that knows those of a revision: what
+// has changed since, or all.
+func (v *VM) packTargets(since uint64) (packed []byte, whole bool) {
+	d, ok := v.targets.Since(since)
+	if !ok || since == 0 {
+		d = roster.Delta{}
+		if d.Changed, d.To = v.targets.Listed(); len(d.Changed) == 0 {
+			return nil, true
+		}
+		whole = true
+	}
+	raw, err := cbor.Marshal(d)
+	if err == nil {
+		packed, err = pack.Deflate(raw)
+	}
+	if err != nil {
+		v.Log.Error().Err(err).Msg("targets not sent to another VM")
+	}
+	return packed, whole
+}
+
+// maxTargets bounds the targets of another VM, in bytes.
+const maxTargets = 64 << 20
+
+func unpackTargets(packed []byte) (roster.Delta, error) {
+	var d roster.Delta
+	raw, err := pack.Inflate(packed, maxTargets)
+	if err != nil {
+		return d, err
 	}
+	return d, errors.Wrap(cbor.Unmarshal(raw, &d), "targets")
 }
 
 // news tells the VMs of the zone that its watcher has learned something.
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -244,22 +244,34 @@
 	v.targetsChanged(changes)
 }
 
+// applyTargets follows what has changed since the revision that this VM knows.
+func (v *VM) applyTargets(d roster.Delta, source string) {
+	changes, ok := v.targets.Apply(d, time.Now())
+	if !ok {
+		v.Log.Info().Uint64("revision", d.To).Str("source", source).Msg("older change of targets ignored")
+		return
+	}
+	v.targetsChanged(changes)
+}
+
 // changeTargets takes the changes up to a revision.
 func (v *VM) changeTargets(changed []pollendoor.Object, revision uint64) {
 	if known, _ := v.targets.State(); revision <= known {
 		return // a list has brought them
 	}
-	var changes []roster.Change
+	last := make(map[string]pollendoor.Object, len(changed)) // of several events on one entry
 	for _, o := range changed {
+		last[o.Name] = o
+	}
+	d := roster.Delta{To: revision}
+	for name, o := range last {
 		if o.Version == 0 {
-			changes = append(changes, v.targets.Remove(o.Name[len(v.Platform.TargetsKind):], time.Now())...)
+			d.Removed = append(d.Removed, name[len(v.Platform.TargetsKind):])
 		} else if t, ok := v.decodeTarget(o); ok {
-			c, _ := v.targets.Set(t, o.Version, time.Now())
-			changes = append(changes, c...)
+			d.Changed = append(d.Changed, t)
 		}
 	}
-	v.targets.Reach(revision)
-	v.targetsChanged(changes)
+	v.applyTargets(d, "store")
 }
 
 // targetsChanged logs what has changed and follows it.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -22,9 +22,21 @@
 type Roster struct {
 	snap atomic.Pointer[snapshot]
 
-	mu    sync.Mutex
-	first time.Time            // when the entries were first listed
-	gone  map[string]time.Time // entries that have vanished, and when
+	mu      sync.Mutex
+	first   time.Time            // when the entries were first listed
+	gone    map[string]time.Time // entries that have vanished, and when
+	changed map[string]uint64    // revision up to which an entry was seen to change last, those removed included
+	from    uint64               // changed tells all since this revision
+}
+
+// history is the number of removed entries that are remembered for other VMs.
+const history = 1024
+
+// Delta is what has changed from one revision to another.
+type Delta struct {
+	Changed []pollendoor.TargetInfo `cbor:"1,keyasint,omitempty"`
+	Removed []string                `cbor:"2,keyasint,omitempty"` // ids
+	To      uint64                  `cbor:"3,keyasint"`           // revision
 }
 
 // snapshot is the targets at one revision.
@@ -106,57 +118,54 @@
 		listed := make(map[string]bool, len(list))
 		for _, t := range list {
 			listed[t.ID] = true
-			if before := s.byID[t.ID]; before != t {
-				changes = append(changes, Change{Before: before, After: t})
-			}
-			s.byID[t.ID] = t
-			delete(r.gone, t.ID)
+			changes = append(changes, r.set(s, t)...)
 		}
-		for id, t := range s.byID {
-			if _, gone := r.gone[id]; !listed[id] && !gone {
-				r.gone[id] = now
-				changes = append(changes, Change{Before: t})
+		for id := range s.byID {
+			if !listed[id] {
+				changes = append(changes, r.remove(s, id, now)...)
 			}
 		}
 	})
 	return changes, ok
 }
 
-// Set takes one entry that changed at a revision.
-func (r *Roster) Set(t pollendoor.TargetInfo, revision uint64, now time.Time) ([]Change, bool) {
+// Apply takes what has changed since the known revision, or an earlier one, in its
+// order. It reports false if that is older than what is known.
+func (r *Roster) Apply(d Delta, now time.Time) ([]Change, bool) {
 	var changes []Change
-	ok := r.update(revision, now, func(s *snapshot) {
-		if before := s.byID[t.ID]; before != t {
-			changes = append(changes, Change{Before: before, After: t})
+	ok := r.update(d.To, now, func(s *snapshot) {
+		for _, id := range d.Removed {
+			changes = append(changes, r.remove(s, id, now)...)
+		}
+		for _, t := range d.Changed {
+			changes = append(changes, r.set(s, t)...)
 		}
-		s.byID[t.ID] = t
-		delete(r.gone, t.ID)
 	})
 	return changes, ok
 }
 
-// Remove takes the removal of an entry, by an event behind the known revision.
-func (r *Roster) Remove(id string, now time.Time) []Change {
-	var changes []Change
-	r.update(r.load().revision, now, func(s *snapshot) {
+// Since returns what has changed since a revision. It reports false if that is too
+// long ago to tell, or later than what is known.
+func (r *Roster) Since(revision uint64) (Delta, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.load()
+	d := Delta{To: s.revision}
+	if revision < r.from || revision > s.revision || r.first.IsZero() {
+		return d, false
+	}
+	for id, at := range r.changed {
+		if at <= revision {
+			continue
+		}
 		t, known := s.byID[id]
 		if _, gone := r.gone[id]; known && !gone {
-			r.gone[id] = now
-			changes = append(changes, Change{Before: t})
+			d.Changed = append(d.Changed, t)
+		} else {
+			d.Removed = append(d.Removed, id)
 		}
-	})
-	return changes
-}
-
-// Reach notes that all changes up to a revision are known.
-func (r *Roster) Reach(revision uint64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if s := r.load(); s.revision < revision {
-		n := *s
-		n.revision = revision
-		r.snap.Store(&n)
 	}
+	return d, true
 }
 
 // Expire drops the targets whose entries have been gone for longer than after, and
@@ -198,12 +207,16 @@
 	}
 	maps.Copy(next.byID, old.byID)
 	if r.first.IsZero() {
-		r.first = now
+		r.first, r.from = now, revision
 	}
 	if r.gone == nil {
-		r.gone = make(map[string]time.Time)
+		r.gone, r.changed = make(map[string]time.Time), make(map[string]uint64)
 	}
 	change(next)
+	if len(r.changed) > len(next.byID)+history {
+		clear(r.changed)
+		r.from = revision
+	}
 	for _, t := range next.byID {
 		next.byGroup[t.Group] = append(next.byGroup[t.Group], t)
 	}
@@ -215,6 +228,33 @@
 	return true
 }
 
+// set takes an entry that is there. The caller holds mu.
+func (r *Roster) set(s *snapshot, t pollendoor.TargetInfo) []Change {
+	before := s.byID[t.ID]
+	_, gone := r.gone[t.ID]
+	if before == t && !gone {
+		return nil
+	}
+	s.byID[t.ID] = t
+	delete(r.gone, t.ID)
+	r.changed[t.ID] = s.revision
+	if before == t {
+		return nil
+	}
+	return []Change{{Before: before, After: t}}
+}
+
+// remove takes the removal of an entry. The caller holds mu.
+func (r *Roster) remove(s *snapshot, id string, now time.Time) []Change {
+	t, known := s.byID[id]
+	if _, gone := r.gone[id]; !known || gone {
+		return nil
+	}
+	r.gone[id] = now
+	r.changed[id] = s.revision
+	return []Change{{Before: t}}
+}
+
 // sum sums up the entries that are listed, so that VMs can compare theirs. An entry
 // that is as it was in the snapshot before is not summed up again.
 func (s *snapshot) sum(before *snapshot, gone map[string]time.Time) {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -1,9 +1,14 @@
 package roster_test
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/pollendoor/pollendoor"
 	"github.com/pollendoor/pollendoor/roster"
 )
@@ -20,18 +25,17 @@
 func TestOldListIsIgnored(t *testing.T) {
 	var r roster.Roster
 	r.List([]pollendoor.TargetInfo{target("a", false), target("b", false)}, 10, now)
-	r.Set(target("a", true), 12, now)
+	r.Apply(roster.Delta{Changed: []pollendoor.TargetInfo{target("a", true)}, To: 12}, now)
 	if changes, ok := r.List([]pollendoor.TargetInfo{target("a", false), target("b", false)}, 10, now); ok || len(changes) > 0 {
 		t.Errorf("older list: got taken (%v) with changes %v, want it ignored", ok, changes)
 	}
 	if got, _ := r.Get("a"); !got.Draining {
 		t.Error("after an older list: got a target that stays, want it draining")
 	}
-	if _, ok := r.Set(target("a", false), 11, now); ok {
+	if _, ok := r.Apply(roster.Delta{Changed: []pollendoor.TargetInfo{target("a", false)}, To: 11}, now); ok {
 		t.Error("older entry: got taken, want it ignored")
 	}
-	r.Remove("a", now)
-	r.Reach(13)
+	r.Apply(roster.Delta{Removed: []string{"a"}, To: 13}, now)
 	r.Expire(now.Add(time.Minute), time.Second)
 	r.List([]pollendoor.TargetInfo{target("a", true), target("b", false)}, 12, now)
 	if _, ok := r.Get("a"); ok {
@@ -66,3 +70,82 @@
 		t.Errorf("got %v expired and %d left, want one each", got, r.Len())
 	}
 }
+
+// VMs follow each other by what has changed: whatever is lost, late or taken twice, a
+// VM has the entries that another one had at that revision, and one changed entry of
+// thousands costs one.
+func TestDeltasLeadToTheSameEntries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var source roster.Roster
+		rosters := make([]roster.Roster, 2)
+		digests := make(map[uint64]uint64)
+		var late []roster.Delta
+		revision := uint64(5)
+		entries := make(map[string]pollendoor.TargetInfo)
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				revision += uint64(rapid.IntRange(1, 3).Draw(t, "revisions"))
+				d := roster.Delta{To: revision}
+				id := fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "id"))
+				if rapid.Bool().Draw(t, "removed") {
+					delete(entries, id)
+					d.Removed = []string{id}
+				} else {
+					entries[id] = target(id, rapid.Bool().Draw(t, "draining"))
+					d.Changed = []pollendoor.TargetInfo{entries[id]}
+				}
+				if rapid.Bool().Draw(t, "list") || len(digests) == 0 {
+					source.List(slices.Collect(maps.Values(entries)), revision, now)
+				} else {
+					source.Apply(d, now)
+				}
+				known, digest := source.State()
+				digests[known] = digest
+			default:
+				r := &rosters[rapid.IntRange(0, 1).Draw(t, "vm")]
+				have, _ := r.State()
+				d, ok := source.Since(have)
+				if !ok {
+					list, at := source.Listed()
+					r.List(list, at, now)
+				} else if rapid.Bool().Draw(t, "late") {
+					late = append(late, d)
+				} else {
+					r.Apply(d, now)
+				}
+			}
+			for i := range rosters {
+				have, digest := rosters[i].State()
+				if want := digests[have]; have > 0 && digest != want {
+					t.Fatalf("VM %d at revision %d: got digest %x, want %x", i, have, digest, want)
+				}
+			}
+		}
+		for _, d := range late {
+			// An answer that comes late is older than what is known, or fits.
+			have, _ := rosters[0].State()
+			if d.To < have {
+				if _, ok := rosters[0].Apply(d, now); ok {
+					t.Fatalf("delta to %d taken at %d", d.To, have)
+				}
+			}
+		}
+	})
+}
+
+func TestOneChangeOfThousandsIsTold(t *testing.T) {
+	var r roster.Roster
+	var list []pollendoor.TargetInfo
+	for i := range 4000 {
+		list = append(list, target(fmt.Sprint(i), false))
+	}
+	r.List(list, 10, now)
+	r.Apply(roster.Delta{Changed: []pollendoor.TargetInfo{target("7", true)}, To: 11}, now)
+	if d, ok := r.Since(10); !ok || len(d.Changed) != 1 || len(d.Removed) != 0 {
+		t.Errorf("got %d changed and %d removed (%v), want the one that changed", len(d.Changed), len(d.Removed), ok)
+	}
+	if _, ok := r.Since(9); ok {
+		t.Error("before the first list: got a delta, want none")
+	}
+}
