--- a/fleet/bundle.go
+++ b/fleet/bundle.go
@@ -24,7 +24,7 @@
 	// would not fit into a datagram without fragments.
 	packAbove = 1200
 	// bundleBytes bounds a bundle when it is decompressed.
-	bundleBytes = 1 << 20
+	bundleBytes = 16 << 20
 	// directAfter is how long the holder is silent before a heartbeat does not go
 	// through the lead of its zone: one that was lost.
 	directAfter = 550 * time.Millisecond
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -28,9 +28,9 @@
 	leadWait = standPause + 100*time.Millisecond
 )
 
-// readers reports whether a VM of a record reads the store for itself while the
+// readsFirst reports whether a VM of a record reads the store for itself while the
 // holder is silent.
-func readers(r *reign.Record, vm string) bool {
+func readsFirst(r *reign.Record, vm string) bool {
 	if len(r.Members) <= reign.SmallFleet {
 		return true
 	}
@@ -41,7 +41,7 @@
 // hear the holder.
 func (v *VM) reads() bool {
 	r := &v.lease.Load().Record
-	if readers(r, v.Settings.VM) || v.leadOf() >= 0 {
+	if readsFirst(r, v.Settings.VM) || v.leadOf() >= 0 {
 		return true
 	}
 	b := &v.beat
