--- a/share/large_test.go
+++ b/share/large_test.go
@@ -127,6 +127,18 @@
 	return k
 }
 
+// restartAll starts all keepers anew.
+func (r *teamRun) restartAll(now time.Duration) {
+	for i, k := range r.zones {
+		k.dead = true
+		r.zones[i] = r.keeper(k.name, k.run+1, share.Zone, i, now)
+	}
+	for i, k := range r.reserves {
+		k.dead = true
+		r.reserves[i] = r.keeper(k.name, k.run+1, share.Reserve+share.Source(i), 0, now)
+	}
+}
+
 // operation asks for one operation of a caller in a zone.
 func (r *teamRun) operation(zone int, now time.Duration) {
 	begun := now
@@ -226,14 +238,7 @@
 		{name: "steady", demand: 1},
 		{name: "all VMs start", demand: 1, fault: func(r *teamRun, now time.Duration) {
 			r.pool = &share.Pool{Reserves: true}
-			for i, k := range r.zones {
-				k.dead = true
-				r.zones[i] = r.keeper(k.name, k.run+1, share.Zone, i, now)
-			}
-			for i, k := range r.reserves {
-				k.dead = true
-				r.reserves[i] = r.keeper(k.name, k.run+1, share.Reserve+share.Source(i), 0, now)
-			}
+			r.restartAll(now)
 		}, countFrom: settled},
 		{name: "all VMs start, one of the keepers never comes back", demand: 1, fault: func(r *teamRun, now time.Duration) {
 			r.pool, r.unheard = &share.Pool{Reserves: true}, 1
@@ -243,14 +248,7 @@
 				}
 				return share.Whole
 			}
-			for i, k := range r.zones {
-				k.dead = true
-				r.zones[i] = r.keeper(k.name, k.run+1, share.Zone, i, now)
-			}
-			for i, k := range r.reserves {
-				k.dead = true
-				r.reserves[i] = r.keeper(k.name, k.run+1, share.Reserve+share.Source(i), 0, now)
-			}
+			r.restartAll(now)
 			r.zones[2].dead = true
 			r.at(now+1200*time.Millisecond, func(at time.Duration) { r.zones[2] = r.keeper("next", 1, share.Zone, 2, at) })
 		}, countFrom: settled},
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -15,6 +15,23 @@
 
 var slack = share.Slack{Window: 5 * time.Second, Excess: 0.1, Margin: 20}
 
+// used is a share that a VM uses until it lapses.
+type used struct {
+	amount float64
+	until  time.Duration
+}
+
+// inUse sums up the shares that are in use.
+func inUse[T any](vms []T, of func(*T) used, now time.Duration) float64 {
+	sum := 0.0
+	for i := range vms {
+		if u := of(&vms[i]); u.until > now {
+			sum += u.amount
+		}
+	}
+	return sum
+}
+
 // patient asks for a token with the longest wait.
 var patient = share.Question{Patience: share.MaxWait}
 
@@ -92,12 +109,7 @@
 			if rapid.IntRange(0, 2).Draw(t, "lost") > 0 {
 				v.amount, v.until, v.seq = got.Amounts["t"], now+share.Life, got.Seq
 			}
-			sum := 0.0
-			for _, v := range vms {
-				if v.until > now {
-					sum += v.amount
-				}
-			}
+			sum := inUse(vms, func(v *vm) used { return used{v.amount, v.until} }, now)
 			if sum > 1+1e-9 {
 				t.Fatalf("got %.3f of the allowance in use at %v, want at most 1", sum, now)
 			}
@@ -436,12 +448,7 @@
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond
 			step(rapid.IntRange(0, len(vms)-1).Draw(t, "vm"))
-			sum := 0.0
-			for _, v := range vms {
-				if v.until > now {
-					sum += v.amount
-				}
-			}
+			sum := inUse(vms, func(v *vm) used { return used{v.amount, v.until} }, now)
 			if sum > 1+1e-9 {
 				t.Fatalf("got %.3f of the allowance in use at %v, want at most 1", sum, now)
 			}
@@ -504,12 +511,7 @@
 			if rapid.IntRange(0, 4).Draw(t, "answered") > 0 {
 				v.amount, v.until, v.seq = got.Amounts["t"], now+share.Life, got.Seq
 			}
-			sum := 0.0
-			for _, o := range vms {
-				if o.until > now {
-					sum += o.amount
-				}
-			}
+			sum := inUse(vms, func(v *vm) used { return used{v.amount, v.until} }, now)
 			if sum > 1+1e-9 {
 				t.Fatalf("got %.3f of the allowance in use at %v, %v after the loss, want at most 1", sum, now, now-lost)
 			}
