reign: a fleet that shrinks to 24 members or fewer still replaces lost keepers of rates

A fleet of more than 24 members writes down who keeps rates.

Change: a list that exists is followed at any size. Fleets that never had more than 24 members have none, and nothing changes for them.

--- a/reign/keeper.go
+++ b/reign/keeper.go
@@ -22,9 +22,11 @@
 
 // Keepers returns the VMs that should keep rates, and whether that is a change: the
 // most powerful ones of each zone. Those that keep rates stay until they have been
-// silent for so long that their shares have lapsed.
+// silent for so long that their shares have lapsed. A fleet that has got small keeps its
+// list and follows it, as its VMs go by that.
 func (d *Duty) Keepers(now time.Duration) ([]string, bool) {
-	if len(d.Record.Members) <= SmallFleet || !d.Clear(now) {
+	small := len(d.Record.Members) <= SmallFleet && len(d.Record.Keepers) == 0
+	if small || !d.Clear(now) {
 		return d.Record.Keepers, false
 	}
 	var list []string
--- a/reign/reign_test.go
+++ b/reign/reign_test.go
@@ -206,6 +206,30 @@
 	}
 }
 
+// A split leaves the holder with 20 of 60 VMs, fewer than need keepers of their own, and
+// with none of those that kept rates: others come in for them, or nobody may be granted
+// any until the split has healed.
+func TestKeepersOfAShrunkenFleet(t *testing.T) {
+	var members, kept []string
+	for i := range 60 {
+		members = append(members, fmt.Sprintf("vm%03d", i))
+	}
+	kept = members[:9]
+	left := members[40:]
+	d := &reign.Duty{Self: left[0], Record: record(members...), Claimed: 10 * second, Confirmed: 10 * second}
+	d.Written(d.Record.WithKeepers(kept), 10*second, 10*second)
+	now := 20 * second
+	for i, vm := range left {
+		d.Heard(reign.Heartbeat{VM: vm, Version: 1, Power: 0.2, Zone: fmt.Sprint(i % 3)}, now)
+	}
+	list, _ := d.Members(now)
+	d.Written(d.Record.WithMembers(list, false), now, now)
+	got, changed := d.Keepers(now)
+	if !changed || len(got) != 9 || slices.ContainsFunc(got, func(vm string) bool { return slices.Contains(kept, vm) }) {
+		t.Errorf("%d members: got keepers %v, changed %v, want three of each zone that is left", len(list), got, changed)
+	}
+}
+
 // duty returns the holder a of a, b and c, with the claim at 10 s.
 func duty() *reign.Duty {
 	d := &reign.Duty{Self: "a", Record: record("a", "b", "c"), Claimed: 10 * second, Confirmed: 10 * second}
