fleet: what a VM tells of its knowledge, and when control goes by zone, each in one place

Found on reading the whole change again; no change of behavior is meant. The version of the configuration and the digest of the targets were put into packets in three places: tellKnown. Whether a fleet is large enough for leads was asked in two: byZone. duty.sharers counted zones while reign's Sharers counts VMs: sharingZones.

--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -385,10 +385,10 @@
 	r := b.vm.lease.Load().Record
 	if p.Relay == "" && r.Addr != "" && r.Addr != b.vm.Settings.IP {
 		p.Relay = b.vm.Settings.IP
-		if len(b.vm.view.Load().Peers) <= reign.SmallFleet {
-			b.forward(p, r.Addr)
-		} else {
+		if b.vm.byZone() {
 			b.bundler.add(b, p)
+		} else {
+			b.forward(p, r.Addr)
 		}
 	}
 }
--- a/fleet/bundle.go
+++ b/fleet/bundle.go
@@ -135,6 +135,10 @@
 	}
 }
 
+// byZone reports whether the fleet is so large that heartbeats go through the leads of
+// zones.
+func (v *VM) byZone() bool { return len(v.view.Load().Peers) > reign.SmallFleet }
+
 // wayToHolder returns the IP that a heartbeat is sent to: in a large fleet the lead of
 // the zone, unless the holder is in the zone or has not answered the last one.
 func (b *beat) wayToHolder(r *reign.Record, silent, now time.Duration) string {
@@ -145,7 +149,7 @@
 	direct := now < b.direct
 	b.mu.Unlock()
 	leads := *b.vm.leads.Load()
-	if direct || len(leads) == 0 || len(b.vm.view.Load().Peers) <= reign.SmallFleet || b.vm.leadOf() >= 0 {
+	if direct || len(leads) == 0 || !b.vm.byZone() || b.vm.leadOf() >= 0 {
 		return r.Addr
 	}
 	if d, ok := b.vm.stats.traffic.distance(r.Addr); ok && d == pollendoor.SameZone {
--- a/fleet/grant.go
+++ b/fleet/grant.go
@@ -52,7 +52,7 @@
 // renew renews the shares that a VM reports. One that is no keeper can only give some
 // up: the next holder would not know of what it is granted.
 func (d *duty) renew(from roll.Peer, run uint64, held []share.Holdings, now time.Duration) []share.Grants {
-	terms := share.Terms{Zones: d.sharers(now), Division: d.division(now)}
+	terms := share.Terms{Zones: d.sharingZones(now), Division: d.division(now)}
 	terms.VMs, terms.Unheard = d.state.Sharers()
 	out := make([]share.Grants, share.Sources)
 	keeps := d.state.Record.Keeps(from.Name)
@@ -68,8 +68,8 @@
 	return out
 }
 
-// sharers returns how many zones share a team's rate.
-func (d *duty) sharers(now time.Duration) int {
+// sharingZones returns how many zones share a team's rate.
+func (d *duty) sharingZones(now time.Duration) int {
 	if d.state.Claimed+settleTime > now {
 		return max(d.zones, len(d.vm.Settings.Zones)) // just after a claim not all VMs have been heard
 	}
@@ -139,16 +139,13 @@
 		Lease: d.state.Lease(p.From.Name, now), Positions: make(map[string]position),
 		Sign: d.signs, Relay: p.Relay, To: p.From.IP, Want: now-d.state.Confirmed > wantAfter,
 	}
-	a.Listed, a.Digest = v.targets.State()
+	v.tellKnown(a)
 	if version != r.Version {
 		if a.Step = d.records.Since(has); a.Step == nil && small(&r) {
 			a.Record = &storedRecord{Record: r, Run: v.run}
 		}
 	}
 	a.Delta, a.View = d.book.Since(p.ViewSeen)
-	if c := v.config.Load(); c != nil {
-		a.Config = c.Version
-	}
 	for name, s := range p.Positions {
 		if p.Echo > 0 {
 			v.ring(name).Add(sample.Sample{Since: p.Echo + s.Since, Position: pollendoor.Position{Term: s.Term, Index: s.Index}})
--- a/fleet/news.go
+++ b/fleet/news.go
@@ -187,6 +187,14 @@
 	return d, errors.Wrap(cbor.Unmarshal(raw, &d), "targets")
 }
 
+// tellKnown notes in a packet which configuration and targets this VM knows, for compare.
+func (v *VM) tellKnown(p *packet) {
+	p.Listed, p.Digest = v.targets.State()
+	if c := v.config.Load(); c != nil {
+		p.Config = c.Version
+	}
+}
+
 // news tells the VMs of the zone that its watcher has learned something.
 func (b *beat) news() {
 	v := b.vm
@@ -194,10 +202,7 @@
 		return
 	}
 	p := &packet{Kind: packetNews}
-	p.Listed, p.Digest = v.targets.State()
-	if c := v.config.Load(); c != nil {
-		p.Config = c.Version
-	}
+	v.tellKnown(p)
 	near := slices.DeleteFunc(b.others(""), func(o roll.Peer) bool { return o.Zone != v.Settings.Zone })
 	b.write(p, addresses(near)...)
 }
--- a/fleet/rates.go
+++ b/fleet/rates.go
@@ -61,8 +61,7 @@
 }
 
 // of returns a team's keepers. They are worked out once for each view of the VMs and
-// each list of those that keep rates.
-// The caller holds mu.
+// each list of those that keep rates. The caller holds mu.
 func (r *rates) of(team string) keepers {
 	v := r.vm
 	record := &v.lease.Load().Record
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -123,10 +123,7 @@
 	}
 	for _, q := range asked {
 		a := packet{Kind: packetStood, Echo: q.Stamp, Stood: err == nil, Token: r.Token, Version: r.Version, Sign: r.Sign}
-		a.Listed, a.Digest = v.targets.State()
-		if c := v.config.Load(); c != nil {
-			a.Config = c.Version
-		}
+		v.tellKnown(&a)
 		v.beat.write(&a, q.From.IP)
 	}
 }
