broker: a pure scheduler; statements run first where a connection is open

Cause: a connection belongs to a team and opening one occupies a slot for 12 ms. Change: the decisions move into Scheduler, which does no I/O. The connection is returned together with the slot; while a queue stands, statements of teams with an open connection go first, bounded by their deadline; connections of waiting teams stay open; the home VM holds 0.8 of a target's connections (0.55); other VMs close theirs after 300 ms; a new connection that is reset while others are open counts as the target's limit, not as an unreachable target.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -5,10 +5,10 @@
 package broker
 
 import (
-	"container/heap"
 	"context"
-	"slices"
+	"io"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,20 +20,12 @@
 const (
 	// dialTimeout bounds the connection attempt including the handshake.
 	dialTimeout = 500 * time.Millisecond
-	// connLimitPause is how long no further connection is opened after the target
-	// refused one because of its connection limit.
-	connLimitPause = 400 * time.Millisecond
 	// unreachablePause is how long work is refused after the target could not be reached.
 	unreachablePause = 250 * time.Millisecond
 	// rollbackTimeout bounds a rollback, which occupies no slot.
 	rollbackTimeout = 600 * time.Millisecond
 	// probeTimeout bounds a probe, which occupies no slot.
 	probeTimeout = 400 * time.Millisecond
-	// maxIdleTime is how long an unused connection is kept open.
-	maxIdleTime = 20 * time.Second
-	// initialServiceTime is the assumed time of a statement before the first one was
-	// measured.
-	initialServiceTime = 20 * time.Millisecond
 )
 
 // Broker queues statements for one target and runs them. Dial must be set, and
@@ -50,35 +42,8 @@
 
 	mu               sync.Mutex
 	target           pollendoor.TargetInfo
-	maxConns         int // maximum number of connections
-	slots            int // maximum number of statements that run at the same time
-	idle             []*conn
-	open             int           // number of connections, including those being opened
-	running          int           // number of statements that hold a slot
-	txQueue          waitQueue     // statements whose transaction already has a connection
-	queue            waitQueue     // statements that need a slot and a connection
-	seq              uint64        // sequence number of the last queued statement
-	serviceTime      time.Duration // moving average of the time that a statement takes at the target
-	connLimitUntil   time.Time     // end of the pause in which connLimit applies
-	connLimit        int           // connections that were open when the target refused one more
-	unreachableUntil time.Time     // end of the pause in which work is refused
-	closed           bool
-}
-
-// conn is a connection to the target with the session state that was set up on it.
-type conn struct {
-	pollendoor.TargetConn
-	team      string               // team that the connection was opened for
-	values    []pollendoor.Setting // session values set on the connection
-	dirty     bool                 // a setup failed part-way, so the values and prepared names are uncertain
-	idleSince time.Time            // time at which the connection became idle
-}
-
-// grant gives a statement a slot and a connection: that of its transaction, an
-// idle one, or a new one that the statement has to dial.
-type grant struct {
-	conn *conn
-	dial bool
+	scheduler        Scheduler
+	unreachableUntil time.Time // end of the pause in which work is refused
 }
 
 // Configure sets the target, the maximum number of connections and the number of
@@ -87,11 +52,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if t.ID != b.target.ID || t.Addr != b.target.Addr || t.Born != b.target.Born {
-		b.closeIdle()
+		b.scheduler.CloseIdle(false)
 		b.unreachableUntil = time.Time{}
 	}
-	b.target, b.maxConns, b.slots = t, connections, slots
-	b.dispatch()
+	b.target = t
+	b.scheduler.Configure(connections, slots, time.Now())
 }
 
 // Target returns the target of the broker.
@@ -105,19 +70,7 @@
 func (b *Broker) Delay() time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.delay(len(b.queue) + len(b.txQueue))
-}
-
-// delay estimates the wait of a statement behind n queued ones. The caller holds mu.
-func (b *Broker) delay(n int) time.Duration {
-	if b.running < b.slots && n == 0 {
-		return 0
-	}
-	s := b.serviceTime
-	if s == 0 {
-		s = initialServiceTime
-	}
-	return s * time.Duration(n+1) / time.Duration(max(1, b.slots))
+	return b.scheduler.Delay()
 }
 
 // Open returns a session for one statement or one transaction of a team. It neither
@@ -129,174 +82,75 @@
 func (b *Broker) Close() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.closed = true
-	b.closeIdle()
-}
-
-// closeIdle closes all idle connections. The caller holds mu.
-func (b *Broker) closeIdle() {
-	for _, c := range b.idle {
-		c.Close()
-		b.open--
-	}
-	b.idle = nil
+	b.scheduler.CloseIdle(true)
 }
 
-// CloseExpired closes the connections that have been idle for maxIdleTime or longer.
-func (b *Broker) CloseExpired(now time.Time) {
+// CloseExpired closes the connections that have been idle for maxIdle or longer.
+func (b *Broker) CloseExpired(now time.Time, maxIdle time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.idle = slices.DeleteFunc(b.idle, func(c *conn) bool {
-		if now.Sub(c.idleSince) < maxIdleTime {
-			return false
-		}
-		c.Close()
-		b.open--
-		return true
-	})
+	b.scheduler.CloseExpired(now, maxIdle)
 }
 
 // acquire waits for a slot and, if the session has no connection, for a connection.
-// A non-empty code is the reason for a refusal; the statement has not been sent
-// in that case.
-func (b *Broker) acquire(t *Session, w *pollendoor.Work) (grant, pollendoor.ErrorCode) {
+// It returns nil for a connection that the session has to open. A non-empty code is
+// the reason for a refusal; the statement has not been sent in that case.
+func (b *Broker) acquire(t *Session, w *pollendoor.Work) (*Conn, pollendoor.ErrorCode) {
 	now := time.Now()
+	granted := make(chan *Conn, 1)
+	v := &Waiter{Team: t.team, Priority: w.Priority, Deadline: now.Add(w.MaxWait), Conn: t.conn, Grant: func(c *Conn) { granted <- c }}
 	b.mu.Lock()
-	if t.conn == nil && now.Before(b.unreachableUntil) {
-		b.mu.Unlock()
-		return grant{}, pollendoor.ErrMisrouted
-	}
-	b.seq++
-	v := &waiter{queueKey: queueKey{w.Priority, now.Add(w.MaxWait), b.seq}, session: t, team: t.team, ready: make(chan grant, 1)}
-	q := &b.queue
-	if t.conn != nil {
-		q = &b.txQueue
-	} else if b.delay(len(b.txQueue)+b.queue.countBefore(v.queueKey)) > w.MaxWait {
-		b.mu.Unlock()
-		return grant{}, pollendoor.ErrBusy
-	}
-	heap.Push(q, v)
-	b.dispatch()
+	unreachable := t.conn == nil && now.Before(b.unreachableUntil)
+	queued := !unreachable && b.scheduler.Enqueue(v, now)
 	b.mu.Unlock()
-
+	switch {
+	case unreachable:
+		return nil, pollendoor.ErrMisrouted
+	case !queued:
+		return nil, pollendoor.ErrBusy
+	}
 	timer := time.NewTimer(w.MaxWait)
 	defer timer.Stop()
 	select {
-	case g := <-v.ready:
-		return g, ""
+	case c := <-granted:
+		return c, ""
 	case <-timer.C:
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if q.remove(v) {
-		return grant{}, pollendoor.ErrBusy
+	if b.scheduler.Remove(v) {
+		return nil, pollendoor.ErrBusy
 	}
-	return <-v.ready, ""
+	return <-granted, ""
 }
 
-// dispatch grants slots to queued statements while slots and connections are
-// free. Statements of open transactions come first. The caller holds mu.
-func (b *Broker) dispatch() {
-	for b.running < b.slots {
-		if len(b.txQueue) > 0 {
-			v := heap.Pop(&b.txQueue).(*waiter)
-			b.running++
-			v.ready <- grant{conn: v.session.conn}
-			continue
-		}
-		if len(b.queue) == 0 {
-			return
-		}
-		g, ok := b.connFor(b.queue[0].team)
-		if !ok {
-			return
-		}
-		v := heap.Pop(&b.queue).(*waiter)
-		b.running++
-		v.ready <- g
-	}
-}
-
-// connFor finds a connection for a team: an idle one of the same team, a new one,
-// or a new one in place of another team's connection that has been idle for the
-// longest time. It reports false if there is none. The caller holds mu.
-func (b *Broker) connFor(team string) (grant, bool) {
-	for i := len(b.idle) - 1; i >= 0; i-- {
-		c := b.idle[i]
-		if c.team != team {
-			continue
-		}
-		b.idle = slices.Delete(b.idle, i, i+1)
-		if c.Alive() {
-			return grant{conn: c}, true
-		}
-		c.Close()
-		b.open--
-	}
-	if b.open >= b.limit(time.Now()) {
-		if len(b.idle) == 0 {
-			return grant{}, false
-		}
-		b.idle[0].Close()
-		b.idle = slices.Delete(b.idle, 0, 1)
-		b.open--
-	}
-	b.open++
-	return grant{dial: true}, true
-}
-
-// limit returns the current maximum number of connections. After the target has
-// refused one because of its connection limit, this is the number that was open
-// then; this applies for connLimitPause.
-func (b *Broker) limit(now time.Time) int {
-	if now.Before(b.connLimitUntil) {
-		return max(1, min(b.maxConns, b.connLimit))
-	}
-	return b.maxConns
-}
-
-// releaseSlot frees a slot and updates the average service time. A time of
-// zero is not counted.
-func (b *Broker) releaseSlot(serviceTime time.Duration) {
+// finish frees the slot of a statement that took serviceTime, and makes its
+// connection idle unless c is nil.
+func (b *Broker) finish(c *Conn, serviceTime time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.running--
-	if serviceTime > 0 {
-		if b.serviceTime == 0 {
-			b.serviceTime = serviceTime
-		}
-		b.serviceTime += (serviceTime - b.serviceTime) / 16
-	}
-	b.dispatch()
+	b.scheduler.Finish(c, serviceTime, time.Now())
 }
 
-// putIdle makes a connection idle, or closes it if the broker is closed or has too
-// many connections.
-func (b *Broker) putIdle(c *conn) {
+// putIdle makes a connection idle that holds no slot.
+func (b *Broker) putIdle(c *Conn) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.closed || b.open > b.maxConns {
-		c.Close()
-		b.open--
-	} else {
-		c.idleSince = time.Now()
-		b.idle = append(b.idle, c)
-	}
-	b.dispatch()
+	b.scheduler.PutIdle(c, time.Now())
 }
 
-// connClosed subtracts a closed connection from the number of open ones.
-func (b *Broker) connClosed() {
+// closeConn closes a connection.
+func (b *Broker) closeConn(c *Conn) {
+	c.Close()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.open--
-	b.dispatch()
+	b.scheduler.ConnClosed(time.Now())
 }
 
 // dial opens the connection that is already counted as open. If that fails it
 // returns a refusal: MISROUTED if the target can't be reached, otherwise the
 // target's own code.
-func (b *Broker) dial(team string, timeout time.Duration) (*conn, pollendoor.Reply) {
+func (b *Broker) dial(team string, timeout time.Duration) (*Conn, pollendoor.Reply) {
 	ctx, cancel := context.WithTimeout(context.Background(), min(dialTimeout, timeout))
 	defer cancel()
 	t := b.Target()
@@ -306,16 +160,22 @@
 	sent := clock.Now()
 	c, err := b.Dial(ctx, t, team)
 	if err == nil {
-		return &conn{TargetConn: c, team: team}, pollendoor.Reply{}
+		return &Conn{TargetConn: c, Team: team}, pollendoor.Reply{}
 	}
 	r := pollendoor.Reply{Code: pollendoor.ErrMisrouted, Text: err.Error()}
 	var refused *pollendoor.TargetError
 	b.mu.Lock()
-	b.open--
-	if errors.As(err, &refused) {
+	// A target at its limit may also accept the connection and close it. With no
+	// other connection open, that can't be told from a target that does not work.
+	closed := errors.IsAny(err, syscall.ECONNRESET, io.EOF) && b.scheduler.Open() > 1
+	isRefusal := errors.As(err, &refused)
+	b.scheduler.DialFailed(isRefusal || closed, time.Now())
+	switch {
+	case isRefusal:
 		r.Code = refused.Code
-		b.connLimitUntil, b.connLimit = time.Now().Add(connLimitPause), b.open
-	} else {
+	case closed:
+		r.Lost, r.Code = true, pollendoor.ErrConnLimit
+	default:
 		r.Lost = true
 		b.unreachableUntil = time.Now().Add(unreachablePause)
 	}
@@ -331,17 +191,11 @@
 // and passes the reply to Observe.
 func (b *Broker) Probe(team string) {
 	b.mu.Lock()
-	var c *conn
-	if n := len(b.idle); n > 0 {
-		c = b.idle[n-1]
-		b.idle = b.idle[:n-1]
-	} else if b.open <= b.maxConns && !time.Now().Before(b.connLimitUntil) {
-		b.open++ // one more than the maximum, so that a probe can detect that the others hang
-	} else {
-		b.mu.Unlock()
+	c, dial := b.scheduler.TakeAny(time.Now())
+	b.mu.Unlock()
+	if c == nil && !dial {
 		return
 	}
-	b.mu.Unlock()
 	if c == nil {
 		var r pollendoor.Reply
 		if c, r = b.dial(team, dialTimeout); r.Code != "" {
@@ -354,8 +208,7 @@
 		b.Observe(b.Target(), r, sent)
 	}
 	if r.Lost || r.State != 'I' {
-		c.Close()
-		b.connClosed()
+		b.closeConn(c)
 		return
 	}
 	b.putIdle(c)
--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -307,6 +308,27 @@
 	}
 }
 
+// A target at its connection limit may close a new connection before its answer is
+// read. While others are open it is not unreachable, and the statement waits for one
+// of these.
+func TestResetOfANewConnectionCountsAsTheLimit(t *testing.T) {
+	s := &fakeTarget{}
+	b := newBroker(s, 2, 2)
+	first := b.Open("a")
+	w := work()
+	w.Open = pollendoor.OpenWrite
+	if r := first.Do(w); r.State != 'T' {
+		t.Fatalf("got state %c, want T", r.State)
+	}
+	b.Dial = func(context.Context, pollendoor.TargetInfo, string) (pollendoor.TargetConn, error) {
+		first.Close() // the connection becomes idle while the attempt fails
+		return nil, syscall.ECONNRESET
+	}
+	if r := b.Open("a").Do(work()); !r.OK() {
+		t.Errorf("got code %s, want success on the open connection", r.Code)
+	}
+}
+
 func TestUnreachableTargetIsObserved(t *testing.T) {
 	s := &fakeTarget{unreachable: true}
 	b := newBroker(s, 1, 1)
--- a/broker/queue.go
+++ b/broker/queue.go
@@ -1,85 +1,64 @@
 package broker
 
-import (
-	"container/heap"
-	"time"
-)
+import "container/heap"
 
-// queueKey is the sort key of queued statements: by priority (lower first), then by
-// the end of the allowed wait, then by arrival.
-type queueKey struct {
-	priority int
-	deadline time.Time // end of the allowed wait in the queue
-	seq      uint64
-}
-
-// before reports whether a is served before b.
-func (a queueKey) before(b queueKey) bool {
-	if a.priority != b.priority {
-		return a.priority < b.priority
+// before reports whether w runs before v: by priority, then by the end of the allowed
+// wait, then by arrival.
+func (w *Waiter) before(v *Waiter) bool {
+	if w.Priority != v.Priority {
+		return w.Priority < v.Priority
 	}
-	if !a.deadline.Equal(b.deadline) {
-		return a.deadline.Before(b.deadline)
+	if !w.Deadline.Equal(v.Deadline) {
+		return w.Deadline.Before(v.Deadline)
 	}
-	return a.seq < b.seq
-}
-
-// waiter is a queued statement. It waits for a slot, and for a connection unless
-// its transaction already has one.
-type waiter struct {
-	queueKey
-	session *Session
-	team    string
-	ready   chan grant // receives the grant; has room for one
-	index   int        // position in the heap, negative after removal
+	return w.seq < v.seq
 }
 
-// waitQueue is a heap of queued statements in the order of their queueKey.
-type waitQueue []*waiter
+// waitQueue is a heap of queued statements, the next one to run first.
+type waitQueue []*Waiter
 
 // Len implements heap.Interface.
-func (w waitQueue) Len() int { return len(w) }
+func (q waitQueue) Len() int { return len(q) }
 
 // Less implements heap.Interface.
-func (w waitQueue) Less(i, j int) bool { return w[i].before(w[j].queueKey) }
+func (q waitQueue) Less(i, j int) bool { return q[i].before(q[j]) }
 
 // Swap implements heap.Interface.
-func (w waitQueue) Swap(i, j int) {
-	w[i], w[j] = w[j], w[i]
-	w[i].index, w[j].index = i, j
+func (q waitQueue) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].index, q[j].index = i, j
 }
 
 // Push implements heap.Interface.
-func (w *waitQueue) Push(x any) {
-	v := x.(*waiter)
-	v.index = len(*w)
-	*w = append(*w, v)
+func (q *waitQueue) Push(x any) {
+	w := x.(*Waiter)
+	w.index = len(*q)
+	*q = append(*q, w)
 }
 
 // Pop implements heap.Interface.
-func (w *waitQueue) Pop() any {
-	old := *w
-	v := old[len(old)-1]
-	*w = old[:len(old)-1]
-	v.index = -1
-	return v
+func (q *waitQueue) Pop() any {
+	old := *q
+	w := old[len(old)-1]
+	*q = old[:len(old)-1]
+	w.index = -1
+	return w
 }
 
-// remove takes v out of the queue. It reports false if v has left it already.
-func (w *waitQueue) remove(v *waiter) bool {
-	if v.index < 0 {
+// remove takes w out of the queue. It reports false if w has left it already.
+func (q *waitQueue) remove(w *Waiter) bool {
+	if w.index < 0 {
 		return false
 	}
-	heap.Remove(w, v.index)
+	heap.Remove(q, w.index)
 	return true
 }
 
-// countBefore returns the number of statements that are served before one with the
-// key o.
-func (w waitQueue) countBefore(o queueKey) int {
+// countBefore returns the number of statements that run before w.
+func (q waitQueue) countBefore(w *Waiter) int {
 	n := 0
-	for _, v := range w {
-		if v.before(o) {
+	for _, v := range q {
+		if v.before(w) {
 			n++
 		}
 	}
--- a/broker/turn.go
+++ b/broker/turn.go
@@ -13,7 +13,7 @@
 type Session struct {
 	broker *Broker
 	team   string
-	conn   *conn // connection of the open transaction, nil outside one
+	conn   *Conn // connection of the open transaction, nil outside one
 }
 
 var _ pollendoor.TargetSession = (*Session)(nil)
@@ -34,34 +34,33 @@
 	}
 	start, sent := time.Now(), clock.Now()
 	r := t.run(c, w, pinned, deadline)
-	b.releaseSlot(time.Since(start))
+	t.releaseConn(c, &r, time.Since(start))
 	r.Delay = b.Delay()
 	if b.Observe != nil {
 		b.Observe(b.Target(), r, sent)
 	}
-	t.releaseConn(c, &r)
 	return r
 }
 
 // acquire waits for a slot and a connection. If the target refuses a new
 // connection because of its connection limit, the statement waits for one of the
 // existing connections.
-func (t *Session) acquire(w *pollendoor.Work, deadline time.Time) (*conn, pollendoor.Reply) {
+func (t *Session) acquire(w *pollendoor.Work, deadline time.Time) (*Conn, pollendoor.Reply) {
 	b := t.broker
 	wait := *w
 	for until := time.Now().Add(w.MaxWait); ; {
-		g, code := b.acquire(t, &wait)
+		c, code := b.acquire(t, &wait)
 		if code != "" {
 			return nil, pollendoor.Reply{Code: code, Text: "no slot in time"}
 		}
-		if !g.dial {
-			return g.conn, pollendoor.Reply{}
+		if c != nil {
+			return c, pollendoor.Reply{}
 		}
 		c, refused := b.dial(t.team, time.Until(deadline))
 		if c != nil {
 			return c, refused
 		}
-		b.releaseSlot(0)
+		b.finish(nil, 0)
 		wait.MaxWait = time.Until(until)
 		if refused.Code != pollendoor.ErrConnLimit || wait.MaxWait <= 0 {
 			return nil, refused
@@ -80,7 +79,7 @@
 
 // run sets up the session values, prepared statement and transaction that the
 // statement needs, and then runs the statement.
-func (t *Session) run(c *conn, w *pollendoor.Work, pinned bool, deadline time.Time) pollendoor.Reply {
+func (t *Session) run(c *Conn, w *pollendoor.Work, pinned bool, deadline time.Time) pollendoor.Reply {
 	values, reset := missingValues(c.values, w.Values)
 	if c.dirty {
 		values, reset = w.Values, true
@@ -140,19 +139,22 @@
 	return set, false
 }
 
-// releaseConn closes the connection, returns it to the broker or keeps it for the
-// open transaction, depending on the reply. It also normalizes the reply's state.
-func (t *Session) releaseConn(c *conn, r *pollendoor.Reply) {
+// releaseConn frees the slot of a statement that took serviceTime, and closes the
+// connection, returns it to the broker or keeps it for the open transaction,
+// depending on the reply. It also normalizes the reply's state.
+func (t *Session) releaseConn(c *Conn, r *pollendoor.Reply, serviceTime time.Duration) {
 	t.conn = nil
+	if r.State == 'I' && !r.Lost {
+		t.broker.finish(c, serviceTime)
+		return
+	}
+	t.broker.finish(nil, serviceTime)
 	switch {
 	case r.Lost || r.State == 0:
-		c.Close()
-		t.broker.connClosed()
+		t.broker.closeConn(c)
 		r.State = 'E'
 	case r.State == 'T' && r.Code == "":
 		t.conn = c
-	case r.State == 'I':
-		t.broker.putIdle(c)
 	default:
 		t.rollback(c)
 		r.State = 'E'
@@ -161,10 +163,9 @@
 
 // rollback rolls the open transaction back and returns its connection to the
 // broker. The connection is closed if the rollback fails.
-func (t *Session) rollback(c *conn) {
+func (t *Session) rollback(c *Conn) {
 	if r := c.Rollback(time.Now().Add(rollbackTimeout)); !r.OK() || r.State != 'I' {
-		c.Close()
-		t.broker.connClosed()
+		t.broker.closeConn(c)
 		return
 	}
 	t.broker.putIdle(c)
--- a/fleet/health.go
+++ b/fleet/health.go
@@ -54,7 +54,7 @@
 		if h.failingSince == 0 {
 			h.failingSince = max(sent, 1)
 		}
-		h.connRefused = h.connRefused || r.Code != "" && now-sent < connRefusedWithin
+		h.connRefused = h.connRefused || r.Code == pollendoor.ErrMisrouted && now-sent < connRefusedWithin
 	case r.Code == pollendoor.ErrMisrouted && !r.Sent:
 		if h.failingSince == 0 {
 			h.failingSince = max(sent, 1)
--- a/fleet/homevms.go
+++ b/fleet/homevms.go
@@ -20,10 +20,14 @@
 	// opens. The rest is for the VM that takes its place while the connections of
 	// the first one remain open (also for all VMs that restart after a loss of
 	// power), and for VMs that reach the target when the home VM doesn't.
-	homeConnectionShare = 0.55
+	homeConnectionShare = 0.8
 	// guestConnections is how many connections a VM opens to a target whose home VM
 	// it is not.
 	guestConnections = 2
+	// homeIdleTime is how long the home VM of a target keeps an unused connection
+	// open, and guestIdleTime how long another VM does.
+	homeIdleTime  = 20 * time.Second
+	guestIdleTime = 300 * time.Millisecond
 	// extraSlots is how many statements beyond a target's slots are sent to it, to
 	// keep it busy while an answer and the next statement are in transit.
 	extraSlots = 1
@@ -136,7 +140,7 @@
 // isHome reports whether this VM is the home VM of a target. The caller holds mu.
 func (h *homeVMs) isHome(t pollendoor.TargetInfo) bool {
 	list := h.peersFor(t)
-	return len(list) > 0 && list[0].Name == h.vm.Settings.VM
+	return h.rankedView.Version > 0 && len(list) > 0 && list[0].Name == h.vm.Settings.VM
 }
 
 // broker returns this VM's broker of a target.
@@ -162,14 +166,13 @@
 // configure sets a broker's limits, which depend on whether this VM is the target's
 // home VM.
 func (h *homeVMs) configure(b *broker.Broker, t pollendoor.TargetInfo) {
-	maxConnections := guestConnections
-	if c := h.vm.Config(); c != nil {
+	maxConnections, idleTime := guestConnections, guestIdleTime
+	if c := h.vm.Config(); c != nil && h.isHome(t) {
 		limit := c.Groups[t.Group].MaxConnections
-		if h.isHome(t) {
-			maxConnections = max(guestConnections, int(homeConnectionShare*float64(limit)))
-		}
+		maxConnections, idleTime = max(guestConnections, int(homeConnectionShare*float64(limit))), homeIdleTime
 	}
 	b.Configure(t, maxConnections, t.Slots+extraSlots)
+	b.CloseExpired(time.Now(), idleTime)
 }
 
 // refresh updates the brokers after a change of targets, configuration or VMs.
@@ -263,6 +266,6 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, b := range h.brokers {
-		b.CloseExpired(time.Now())
+		b.CloseExpired(time.Now(), homeIdleTime)
 	}
 }
