leases and quota shares that outlast a leader lost while the store is away

Cause: a leader without the store granted leases of 2.5 s and shares of 3 s on promises of 2 s. Change: a promise has two parts, to claim no leadership for 2 s and to confirm no other leader's record for 6 s. A lease lasts as long as most members have promised, and shares as long as the lease that is granted with them. What has to wait for such leases: replacement and eviction by the same leader, the claimant's own voice, a takeover from a former leader that confirms. Promises are asked for after 0.8 s without proof and given as soon as a read of the store has failed. A VM that starts without the store takes leases once the leader has proved itself after that start, not after a fixed time. A new leader judges primaries only after the members' first reports: one was replaced for the report of a single VM.

--- a/fleet/handover.go
+++ b/fleet/handover.go
@@ -62,6 +62,8 @@
 	leading, objectVersion := ld.isLeading(), ld.objectVersion
 	successor, ok := ld.state.Successor(ld.vm.Settings.VM, ld.isStaying, clock.Now())
 	r := ld.nextRecord(ld.state.Record.HandOver(successor, ld.peers[successor].IP))
+	// The successor does not learn until when leases of this VM may last.
+	r.Settled = r.Settled && ld.state.LongLeasesEnded(clock.Now())
 	r.ProcessID = 0 // no process is the leader: the successor has to claim the leadership
 	// With a successor, this VM grants nothing from here on, whatever the outcome of
 	// the write.
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -25,11 +25,12 @@
 		}
 	}
 	ld.state.ReceiveHeartbeat(lease.Heartbeat{VM: v.Settings.VM, Version: ld.state.Record.Version, Power: v.Settings.CPU, Zone: v.Settings.Zone, Reports: reports}, now)
-	if l := ld.state.Lease(v.Settings.VM, now); l > 0 {
-		v.updateLease(func(own *lease.Lease) bool { return own.Adopt(ld.state.Record, now, l) })
+	length := ld.state.Lease(v.Settings.VM, now)
+	if length > 0 {
+		v.updateLease(func(own *lease.Lease) bool { return own.Adopt(ld.state.Record, now, length) })
 	}
 	token := ld.state.Record.Token
-	v.admission.applyGrants(token, ld.renewQuota(v.selfPeer(), v.processID, v.admission.heldShares(token, now), now), now, now)
+	v.admission.applyGrants(token, ld.renewQuota(v.selfPeer(), v.processID, v.admission.heldShares(token, now), length, now), length, now, now)
 	ld.refreshView(now, false)
 	w := ld.viewHistory.View()
 	v.adoptView(&w)
@@ -52,9 +53,9 @@
 
 // renewQuota renews the quota shares that a VM reports. A VM that is not a keeper
 // can only release shares: the next leader would not receive a report of shares
-// granted to it.
-func (ld *leader) renewQuota(from vmlist.Peer, processID uint64, held []quota.HeldShares, now time.Duration) []quota.Grants {
-	conditions := quota.Conditions{Zones: ld.quotaZones(now), Division: ld.quotaDivision(now)}
+// granted to it. leaseTime is the lease that the VM is granted with its shares.
+func (ld *leader) renewQuota(from vmlist.Peer, processID uint64, held []quota.HeldShares, leaseTime, now time.Duration) []quota.Grants {
+	conditions := quota.Conditions{Zones: ld.quotaZones(now), Division: ld.quotaDivision(now), Lease: leaseTime}
 	conditions.VMs, conditions.Unreported = ld.state.QuotaHolders()
 	out := make([]quota.Grants, quota.NumSources)
 	isKeeper := ld.state.Record.IsKeeper(from.Name)
@@ -130,7 +131,7 @@
 			p.HeldShares[i].Seq = 0
 		}
 	}
-	ld.state.ReceiveHeartbeat(lease.Heartbeat{VM: p.From.Name, Version: version, Echo: p.Echo, Promise: p.Promise, Bound: p.PromiseLeft, Power: p.CPUShare, Zone: p.From.Zone, Reports: p.Reports}, now)
+	ld.state.ReceiveHeartbeat(lease.Heartbeat{VM: p.From.Name, Version: version, Echo: p.Echo, Promise: p.Promise, Hold: p.Hold, Bound: p.PromiseLeft, Granted: p.GrantedLeft, Power: p.CPUShare, Zone: p.From.Zone, Reports: p.Reports}, now)
 	listed := ld.viewHistory.View()
 	peerLeft := p.From.Leaving && listed.Has(p.From.Name)
 	ld.peers[p.From.Name] = p.From
@@ -140,7 +141,7 @@
 	}
 	a := &packet{
 		Kind: packetAnswer, Token: r.Token, Stamp: now, Echo: p.Stamp, RecordVersion: r.Version,
-		Lease: ld.state.Lease(p.From.Name, now), Positions: make(map[string]position),
+		Lease: ld.state.Lease(p.From.Name, now), ProofAge: now - ld.state.Confirmed, Positions: make(map[string]position),
 		Liveness: ld.livenessCounter, RelayIP: p.RelayIP, AnswerIP: p.From.IP, WantPromise: now-ld.state.Confirmed > promiseWantedAfter,
 	}
 	v.setKnownVersions(a)
@@ -163,7 +164,7 @@
 	if ld.state.Lease(v.Settings.VM, now) == 0 {
 		return a // no VM may use primaries any longer by leases of this leader
 	}
-	a.QuotaGrants = ld.renewQuota(p.From, p.ProcessID, p.HeldShares, now)
+	a.QuotaGrants = ld.renewQuota(p.From, p.ProcessID, p.HeldShares, a.Lease, now)
 	return a
 }
 
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -33,7 +33,7 @@
 	livenessWriteTimeout = 300 * time.Millisecond
 	// promiseWantedAfter is how long without confirmation the leader waits before it
 	// asks for promises.
-	promiseWantedAfter = 950 * time.Millisecond
+	promiseWantedAfter = 800 * time.Millisecond
 	// memberChangePeriod is the minimum time between two changes of the members, so
 	// that VMs that start together become members in one change.
 	memberChangePeriod = 150 * time.Millisecond
@@ -78,6 +78,14 @@
 	return ld.isLeading()
 }
 
+// longLeaseUntil returns the end of the last lease that this VM granted for more
+// than lease.LeaseTime.
+func (ld *leader) longLeaseUntil() time.Duration {
+	ld.mu.Lock()
+	defer ld.mu.Unlock()
+	return ld.state.LongLeaseUntil()
+}
+
 // isLeading reports whether this VM is the leader as far as it can tell. The caller
 // holds mu.
 func (ld *leader) isLeading() bool {
@@ -108,9 +116,10 @@
 		return
 	}
 	now := clock.Now()
+	own := v.messenger.bounds()
 	ld.mu.Lock()
 	ld.leading, ld.objectVersion = true, objectVersion
-	ld.state = lease.Claim(v.Settings.VM, r.Record, next.Record, start, now)
+	ld.state = lease.Claim(v.Settings.VM, r.Record, next.Record, own, start, now)
 	ld.livenessCounter = next.Liveness
 	ld.peers = map[string]vmlist.Peer{v.Settings.VM: v.selfPeer()}
 	ld.viewHistory.Start(next.Token, *v.view.Load())
--- a/fleet/messenger.go
+++ b/fleet/messenger.go
@@ -44,6 +44,9 @@
 	// storeReadTimeout is how long a read of the store may go unanswered before this
 	// VM considers the store unreachable.
 	storeReadTimeout = 250 * time.Millisecond
+	// promiseDelay is how long after a read of the store has timed out the promise is
+	// sent.
+	promiseDelay = 10 * time.Millisecond
 	// storeReadPause is the minimum time between two reads of the record.
 	storeReadPause = 700 * time.Millisecond
 	// viewPeriod is the minimum time between two changes of the list of live VMs.
@@ -75,6 +78,8 @@
 	leaderChanged      time.Duration            // when the leader last changed
 	answerStamp        lease.Stamp              // leader's stamp in its last answer
 	noClaimUntil       time.Duration            // until when this VM has promised not to claim the leadership
+	holdUntil          time.Duration            // until when this VM has promised to confirm no other leader's record
+	failedRead         time.Duration            // start of the last read of the record that failed
 	leaderReports      map[string]leaderReport  // last report of each VM on the leader, by VM name
 	sentPositions      map[string]sample.Sample // newest position sent to the leader, by group
 	grantsApplied      time.Duration            // send time of the last heartbeat whose quota grants were applied
@@ -267,15 +272,17 @@
 	if c := v.config.Load(); c != nil {
 		p.ConfigVersion = c.Version
 	}
+	own := m.bounds()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	p.Echo = m.answerStamp.Echo(r.Token)
-	// An earlier process of this VM may have given a promise, too.
-	p.PromiseLeft = max(0, max(m.noClaimUntil, m.startedAt+lease.PromiseTime)-now)
-	if w := m.promiseWanted.Echo(r.Token); w > 0 && m.lastRead > w && !m.lastReadOK && now-m.lastRead > storeReadTimeout+m.readAllowance && p.Echo > 0 && now-m.lastAnswer < leaderSilentAfter {
+	p.PromiseLeft, p.GrantedLeft = max(0, own.Promised-now), max(0, own.Granted-now)
+	readFailed := m.failedRead == m.lastRead || now-m.lastRead > storeReadTimeout+m.readAllowance
+	if w := m.promiseWanted.Echo(r.Token); w > 0 && m.lastRead > w && !m.lastReadOK && readFailed && p.Echo > 0 && now-m.lastAnswer < leaderSilentAfter {
 		// Neither the leader nor this VM reaches the store.
-		p.Promise = lease.PromiseTime
+		p.Promise, p.Hold = lease.PromiseTime, lease.HoldTime
 		m.noClaimUntil = max(m.noClaimUntil, now+lease.PromiseTime)
+		m.holdUntil = max(m.holdUntil, now+lease.HoldTime)
 	}
 	for name, g := range r.Groups {
 		report, s, ok := v.primaryHealth(name).report(g.Epoch, now)
@@ -294,6 +301,16 @@
 	return p
 }
 
+// bounds returns the times until which promises and leases of this VM, or of an earlier
+// process of it, may have to be respected.
+func (m *messenger) bounds() lease.Bounds {
+	granted := m.vm.leader.longLeaseUntil()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	earlier := m.startedAt + lease.HoldTime
+	return lease.Bounds{Promised: max(m.holdUntil, earlier), Granted: max(granted, earlier)}
+}
+
 // receive handles datagrams until the socket is closed.
 func (m *messenger) receive() {
 	buf := make([]byte, maxPacketBytes)
@@ -443,7 +460,7 @@
 	if r.Token != p.Token || r.Version != p.RecordVersion {
 		return // the answer refers to a record that this VM does not have
 	}
-	if p.Lease > 0 && lease.MayAdopt(m.recordLookedUp.Load(), now-m.startedAt) {
+	if p.Lease > 0 && lease.MayAdopt(m.recordLookedUp.Load(), p.Echo-m.startedAt, p.ProofAge) {
 		v.updateLease(func(l *lease.Lease) bool { return l.Adopt(r, p.Echo, p.Lease) })
 	}
 	m.mu.Lock()
@@ -454,6 +471,9 @@
 		m.promiseWanted = lease.Stamp{}
 	} else if m.promiseWanted.Token != p.Token {
 		m.promiseWanted = lease.Stamp{Token: p.Token, At: now}
+		// Read the store now, and report soon that it does not answer.
+		m.wake()
+		time.AfterFunc(storeReadTimeout+promiseDelay, m.wake)
 	}
 	fresh := p.Echo > m.grantsApplied
 	if fresh {
@@ -467,7 +487,7 @@
 		v.applyViewDelta(p.ViewDelta)
 	}
 	if fresh {
-		v.admission.applyGrants(p.Token, p.QuotaGrants, p.Echo, now)
+		v.admission.applyGrants(p.Token, p.QuotaGrants, p.Lease, p.Echo, now)
 	}
 	for name, s := range p.Positions {
 		v.positionRing(name).Add(sample.Sample{Since: p.Echo + s.Since, Position: pollendoor.Position{Term: s.Term, Index: s.Index}})
--- a/fleet/packet.go
+++ b/fleet/packet.go
@@ -55,11 +55,14 @@
 	CPUShare      float64                 `cbor:"25,keyasint,omitempty"` // number of CPU cores, may be a fraction
 	WantedGroups  []string                `cbor:"31,keyasint,omitempty"` // groups whose positions the sender's reads need
 	Urgent        bool                    `cbor:"41,keyasint,omitempty"` // the leader waits for this heartbeat
-	PromiseLeft   time.Duration           `cbor:"29,keyasint,omitempty"` // remaining time of a promise not to claim that the sender may have given before
+	Hold          time.Duration           `cbor:"43,keyasint,omitempty"` // how long after Echo the sender will not confirm another leader's record
+	PromiseLeft   time.Duration           `cbor:"29,keyasint,omitempty"` // remaining time of a promise to confirm no other leader's record that the sender may have given
+	GrantedLeft   time.Duration           `cbor:"44,keyasint,omitempty"` // remaining time of long leases that the sender may have granted as the leader
 	ProcessID     uint64                  `cbor:"21,keyasint,omitempty"` // identifies the sender's process
 
 	// The following fields are set in answers to heartbeats.
 	Lease           time.Duration  `cbor:"12,keyasint,omitempty"` // duration of the granted lease, counted from Echo
+	ProofAge        time.Duration  `cbor:"45,keyasint,omitempty"` // age of the leader's last proof of leadership
 	Record          *storedRecord  `cbor:"13,keyasint,omitempty"` // the record, if the sender's version is outdated, no delta is available, and the record is small
 	RecordDelta     *lease.Delta   `cbor:"38,keyasint,omitempty"` // changes from RecordVersion to the newest version
 	View            *vmlist.View   `cbor:"14,keyasint,omitempty"` // the view, if ViewVersion is outdated and no delta is available
--- a/fleet/recordreader.go
+++ b/fleet/recordreader.go
@@ -170,7 +170,7 @@
 	}
 	m.lastReadOK, m.lastReadFailed = ok, !ok
 	if !ok {
-		m.readsOKSince = 0
+		m.readsOKSince, m.failedRead = 0, sent
 	} else if m.readsOKSince == 0 || sent-m.readsOKSince > storeSeriesTime {
 		m.readsOKSince = sent
 	}
--- a/fleet/takeover.go
+++ b/fleet/takeover.go
@@ -114,6 +114,7 @@
 		m.noteStoreRead(sent, err == nil)
 		m.mu.Unlock()
 		if err != nil {
+			m.wake() // the leader may be waiting for a promise
 			v.stats.StoreErrors.Add(1)
 			v.Log.Debug().Err(err).Msg("lease not renewed from the store")
 			return
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -192,6 +192,9 @@
 	v.logTeamLimits(old, c)
 	v.admission.updateTeams(c)
 	v.homeVMs.refresh()
+	if old == nil {
+		v.messenger.wake() // this VM may keep the rates of teams, and needs their shares
+	}
 	v.Log.Info().Uint64("version", c.Version).Str("source", source).
 		Int("routes", len(c.Routes)).Int("keys", len(c.Keys)).Msg("configuration in force")
 	v.messenger.announceUpdate()
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -39,6 +39,7 @@
 		switch {
 		case name == l.Self, m != nil && now-m.lastHeartbeat < heartbeatMaxAge:
 			live[l.zone(name)]++
+		case !l.LongLeasesEnded(now): // nor have shares that were granted with them
 		case m != nil && now-m.lastHeartbeat >= memberTimeout, m == nil && now-l.Claimed >= memberTimeout:
 			continue
 		}
--- a/lease/leader.go
+++ b/lease/leader.go
@@ -27,6 +27,13 @@
 	// platform's store before the primary counts as gone. Entries that expired
 	// during a store outage come back earlier than that.
 	missingEntryTimeout = 2500 * time.Millisecond
+	// longLeaseAfter is the age of the last proof of leadership from which on leases
+	// may last as long as most members have promised.
+	longLeaseAfter = time.Second
+	// firstReportsTime is how long after a claim the first reports of members on the
+	// primaries may take: some round trips, as members report once they learn of the
+	// new leader.
+	firstReportsTime = 300 * time.Millisecond
 	// refusedTimeout is how long a primary that refuses connections, or that
 	// answers that it does not lead, must have been without a successful answer
 	// before it is replaced.
@@ -45,8 +52,10 @@
 type member struct {
 	lastHeartbeat  time.Duration // time of its last heartbeat; zero if none has come since the claim
 	adoptedVersion uint64        // version of the record that the member has adopted
-	promisedUntil  time.Duration // until then the member has promised not to claim leadership
+	noClaimUntil   time.Duration // until then the member has promised not to claim leadership
+	promisedUntil  time.Duration // until then the member has promised to confirm no other leader's record
 	boundUntil     time.Duration // until then it may be bound by such a promise to an earlier leader
+	grantedUntil   time.Duration // until then leases that it granted for more than LeaseTime may last
 	power          float64
 	zone           string
 	reports        map[string]Report
@@ -60,6 +69,8 @@
 	Claimed         time.Duration // when the write of the claim was known to have succeeded
 	Confirmed       time.Duration // start of the last store call that proved that this VM still leads
 	lastEviction    time.Duration // when a member was last evicted
+	own             Bounds        // bounds of this VM at the claim
+	longLeaseUntil  time.Duration // end of the last lease that was granted for more than LeaseTime
 	claimMembers    []string      // members at the time of the claim
 	proposedMembers []string      // members named in a write whose outcome is not known yet; nil if there is none
 	formerLeader    string        // the only earlier leader whose leases may be in use; empty if there may be others
@@ -78,7 +89,9 @@
 	Version uint64            // version of the record that the VM has adopted
 	Echo    time.Duration     // leader's timestamp from an earlier answer, sent back unchanged
 	Promise time.Duration     // how long after Echo the VM will not claim leadership
+	Hold    time.Duration     // how long after Echo the VM will not confirm another leader's record
 	Bound   time.Duration     // how long the VM may still be bound by a promise to an earlier leader
+	Granted time.Duration     // how long leases that the VM granted as the leader for more than LeaseTime may last
 	Power   float64           // share of a CPU core that the VM has
 	Zone    string            // availability zone of the VM
 	Reports map[string]Report // reports on primaries, by group
@@ -109,20 +122,30 @@
 		l.reporters[group][b.VM] = true
 	}
 	m.lastHeartbeat, m.adoptedVersion, m.reports, m.power, m.zone = now, b.Version, b.Reports, b.Power, b.Zone
-	m.boundUntil = now + b.Bound
+	m.boundUntil, m.grantedUntil = now+b.Bound, now+b.Granted
 	if b.VM == l.formerLeader && b.Version > 0 && l.formerReleased == 0 {
 		l.formerReleased = now
 	}
-	if until := b.Echo + b.Promise; b.Promise > 0 && b.Echo > 0 && b.Echo <= now && until > m.promisedUntil {
-		m.promisedUntil, l.promiseCache = until, nil
+	if b.Promise > 0 && b.Echo > 0 && b.Echo <= now {
+		m.noClaimUntil = max(m.noClaimUntil, b.Echo+b.Promise)
+		m.promisedUntil = max(m.promisedUntil, b.Echo+max(b.Promise, b.Hold))
+		l.promiseCache = nil
 	}
 }
 
+// Bounds are the times until which the decisions of a VM as an earlier leader's
+// member, or as an earlier leader, have to be respected.
+type Bounds struct {
+	Promised time.Duration // end of its promise to confirm no other leader's record
+	Granted  time.Duration // end of the leases that it granted for more than LeaseTime
+}
+
 // Claim returns the state of a VM that has just become the leader. Base is the
 // record that the VM found and r the one that it wrote; start is when the write
-// began and now when it was known to have succeeded.
-func Claim(self string, base, r Record, start, now time.Duration) Leader {
-	l := Leader{Self: self, Record: base, Claimed: now, claimMembers: base.Members}
+// began and now when it was known to have succeeded. Own are the bounds of the VM
+// itself.
+func Claim(self string, base, r Record, own Bounds, start, now time.Duration) Leader {
+	l := Leader{Self: self, Record: base, Claimed: now, claimMembers: base.Members, own: own}
 	if base.Settled {
 		l.formerLeader = base.Leader
 	}
@@ -144,7 +167,24 @@
 		return 0
 	}
 	until := max(l.Confirmed+LeaseTime, l.promiseLimit()) - ClockSlack
-	return max(0, min(LeaseTime, until-now))
+	if now < l.Confirmed+longLeaseAfter {
+		return max(0, min(LeaseTime, until-now))
+	}
+	length := max(0, min(HoldTime, until-now))
+	if length > LeaseTime {
+		l.longLeaseUntil = max(l.longLeaseUntil, now+length)
+	}
+	return length
+}
+
+// LongLeaseUntil returns the end of the last lease that this VM granted for more
+// than LeaseTime, now or as an earlier leader. It is zero if there is none.
+func (l *Leader) LongLeaseUntil() time.Duration { return max(l.longLeaseUntil, l.own.Granted) }
+
+// LongLeasesEnded reports whether no lease of more than LeaseTime that this leader
+// granted is in use.
+func (l *Leader) LongLeasesEnded(now time.Duration) bool {
+	return l.longLeaseUntil == 0 || now >= l.longLeaseUntil+ClockSlack
 }
 
 // promiseLimit returns the time until which the members' promises allow the
@@ -163,6 +203,7 @@
 type promiseEnds struct {
 	members       map[string]bool
 	majority, all time.Duration
+	noClaim       time.Duration // until then all members have promised not to claim leadership
 }
 
 // promiseEnds returns when the promises of a list of members end. The result is
@@ -179,15 +220,16 @@
 		l.promiseCache = make(map[*string]promiseEnds)
 	}
 	b := promiseEnds{members: toSet(members)}
-	b.majority, b.all = l.computePromiseEnds(members)
+	b.majority, b.all = l.computePromiseEnds(members, func(m *member) time.Duration { return m.promisedUntil })
+	_, b.noClaim = l.computePromiseEnds(members, func(m *member) time.Duration { return m.noClaimUntil })
 	l.promiseCache[key] = b
 	return b
 }
 
 // computePromiseEnds returns the times until which a majority of the members, and
-// all of them, have promised not to claim leadership. This VM counts as a member
+// all of them, have given the promise that ends at end. This VM counts as a member
 // that has promised.
-func (l *Leader) computePromiseEnds(members []string) (majority, all time.Duration) {
+func (l *Leader) computePromiseEnds(members []string, end func(*member) time.Duration) (majority, all time.Duration) {
 	list := make([]time.Duration, 0, len(members))
 	for _, name := range members {
 		switch m := l.members[name]; {
@@ -196,7 +238,7 @@
 		case m == nil:
 			list = append(list, 0)
 		default:
-			list = append(list, m.promisedUntil)
+			list = append(list, end(m))
 		}
 	}
 	slices.Sort(list)
@@ -206,7 +248,7 @@
 // Proved reports whether the leader has proved its leadership recently enough
 // that no other VM can have ordered a promotion or granted a lease or a share since.
 func (l *Leader) Proved(now time.Duration) bool {
-	return now < l.Confirmed+proofMaxAge || now < min(l.promiseEnds(l.Record.Members).all, l.Confirmed+UnanimousHoldTime)
+	return now < l.Confirmed+proofMaxAge || now < min(l.promiseEnds(l.Record.Members).noClaim, l.Confirmed+UnanimousHoldTime)
 }
 
 // EarlierLeasesEnded reports whether all leases that an earlier leader granted on
@@ -220,14 +262,17 @@
 	n, wait := 0, UnanimousHoldTime
 	for _, name := range l.claimMembers {
 		if name == l.Self {
-			n, wait = n+1, MajorityHoldTime
+			wait = MajorityHoldTime
+			if now >= l.own.Promised {
+				n++
+			}
 			continue
 		}
 		if m := l.members[name]; m != nil && m.adoptedVersion > 0 && now >= m.boundUntil {
 			n++
 		}
 	}
-	formerReleased := l.formerReleased > 0 && now >= l.formerReleased+LeaseTime+ClockSlack
+	formerReleased := l.formerReleased > 0 && now >= max(l.formerReleased+LeaseTime, l.formerGrantedUntil())+ClockSlack
 	if 2*n > len(l.claimMembers) || len(l.claimMembers) == 0 || formerReleased || now >= l.Claimed+wait+ClockSlack {
 		l.clearSince = max(now, 1)
 		return true
@@ -235,6 +280,15 @@
 	return false
 }
 
+// formerGrantedUntil returns the time until which leases that the former leader
+// granted for more than LeaseTime may be in use, as far as it has reported.
+func (l *Leader) formerGrantedUntil() time.Duration {
+	if m := l.members[l.formerLeader]; m != nil && l.formerLeader != l.Self {
+		return m.grantedUntil
+	}
+	return l.own.Granted
+}
+
 // SharesUnknown reports whether quota shares that an earlier leader granted may
 // be in use although this leader has received no report of them. A share is valid
 // for ttl.
@@ -290,7 +344,7 @@
 		return false
 	}
 	since := max(l.movingSince[group], l.Claimed)
-	if now >= since+LeaseTime+ClockSlack && l.EarlierLeasesEnded(now) {
+	if now >= since+LeaseTime+ClockSlack && l.LongLeasesEnded(now) && l.EarlierLeasesEnded(now) {
 		return true
 	}
 	if l.KeepEvicted(now) {
@@ -323,9 +377,10 @@
 		return l.Record.Members, false // an earlier leader may still count on these members
 	}
 	list := make([]string, 0, len(l.Record.Members))
+	leasesMayLast := !l.LongLeasesEnded(now)
 	for _, name := range l.Record.Members {
 		m := l.members[name]
-		if name == l.Self || m != nil && now-m.lastHeartbeat < memberTimeout || m == nil && now-l.Claimed < memberTimeout {
+		if name == l.Self || leasesMayLast || m != nil && now-m.lastHeartbeat < memberTimeout || m == nil && now-l.Claimed < memberTimeout {
 			list = append(list, name)
 		}
 	}
@@ -389,6 +444,12 @@
 	return unreported == 0
 }
 
+// AllMembersReported reports whether every member of the record has sent a heartbeat
+// since the claim.
+func (l *Leader) AllMembersReported() bool {
+	return !slices.ContainsFunc(l.Record.Members, func(name string) bool { return name != l.Self && l.members[name] == nil })
+}
+
 // Cause is the reason why a primary is replaced. It is empty if there is no
 // reason.
 type Cause string
@@ -436,6 +497,9 @@
 		refused = refused || r.Refused
 		demoted = demoted || r.Demoted
 	}
+	if now < l.Claimed+firstReportsTime && !l.AllMembersReported() {
+		return CauseNone // some members may have reached the primary
+	}
 	silent := now - lastOK
 	switch {
 	case demoted && silent > refusedTimeout:
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -46,9 +46,13 @@
 
 // MayAdopt reports whether a VM may take a lease from a leader. An earlier
 // process of the VM may have confirmed the next leader's record. A process that
-// has not read the record since its start therefore waits until the former leader
-// can't grant leases any longer. Age is the time since the process started.
-func MayAdopt(recordRead bool, age time.Duration) bool { return recordRead || age > LeaseTime }
+// has not read the record since its start therefore waits for a proof of leadership
+// that began after its start, or until the former leader can't grant leases any
+// longer. Age is the time since the process started, and proofAge the age of the
+// leader's last proof at the time of the VM's request.
+func MayAdopt(recordRead bool, age, proofAge time.Duration) bool {
+	return recordRead || proofAge+ClockSlack < age || age > HoldTime
+}
 
 // TakeoverAfter is how long the leader must be silent before another VM considers
 // a takeover: three heartbeats.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -199,7 +199,7 @@
 		}
 		d.Written(d.Record.WithKeepers(got), now+tc.after, now+tc.after)
 	}
-	next := lease.Claim("vm000", d.Record, d.Record.Claim("vm000", "addr"), 30*second, 30*second)
+	next := lease.Claim("vm000", d.Record, d.Record.Claim("vm000", "addr"), lease.Bounds{}, 30*second, 30*second)
 	for _, vm := range d.Record.Keepers {
 		if next.AllSharesReported() {
 			t.Errorf("before a heartbeat from %s: got a leader that knows all shares, want one that does not", vm)
@@ -505,6 +505,115 @@
 	}
 }
 
+// Pattern: the leader is lost while the store is away. Leases last as long as most
+// members have promised, so that primaries stay in use until there can be another
+// leader. They ended after LeaseTime, and callers were refused until the store was
+// back (seen in all days of this kind).
+func TestLeasesOutlastALeaderThatIsLostWithoutTheStore(t *testing.T) {
+	hold := func(d *lease.Leader, vm string, now time.Duration) {
+		d.ReceiveHeartbeat(lease.Heartbeat{VM: vm, Version: 1, Echo: now, Promise: lease.PromiseTime, Hold: lease.HoldTime}, now)
+	}
+	for _, tc := range []struct {
+		name string
+		do   func(d *lease.Leader)
+		now  time.Duration
+		want time.Duration // shortest lease
+		most time.Duration // longest lease
+	}{
+		{"most members hold", func(d *lease.Leader) { hold(d, "b", 12*second) }, 12 * second, 5 * second, lease.HoldTime},
+		{"the promise of an earlier release", func(d *lease.Leader) {
+			d.ReceiveHeartbeat(lease.Heartbeat{VM: "b", Version: 1, Echo: 12 * second, Promise: lease.PromiseTime}, 12*second)
+		}, 12 * second, second, lease.PromiseTime},
+		{"just proved", func(d *lease.Leader) { hold(d, "b", 10*second) }, 10*second + second/2, second, lease.LeaseTime},
+		{"the limit of most members is near", func(d *lease.Leader) { hold(d, "b", 17*second) }, 17 * second, second / 2, second},
+	} {
+		d := newLeader()
+		tc.do(d)
+		if got := d.Lease("c", tc.now); got < tc.want || got > tc.most {
+			t.Errorf("%s: got a lease of %v, want %v to %v", tc.name, got, tc.want, tc.most)
+		}
+	}
+}
+
+// What a long lease makes others wait for. Each case fails if the condition that it
+// names is left out.
+func TestLongLeasesAreRespected(t *testing.T) {
+	granted := func() *lease.Leader {
+		d := newLeader()
+		d.ReceiveHeartbeat(lease.Heartbeat{VM: "b", Version: 1, Echo: 12 * second, Promise: lease.PromiseTime, Hold: lease.HoldTime}, 12*second)
+		d.ReceiveHeartbeat(lease.Heartbeat{VM: "c", Version: 1}, 12*second)
+		if got := d.Lease("c", 12*second); got <= lease.LeaseTime {
+			t.Fatalf("got a lease of %v, want more than %v", got, lease.LeaseTime)
+		}
+		return d
+	}
+	claimed := func(self string, settled bool, own lease.Bounds) *lease.Leader {
+		base := record("a", "b", "c")
+		base.Settled = settled
+		base.Groups["g"] = base.Groups["g"].Move(false)
+		d := lease.Claim(self, base, base.Claim(self, "addr"), own, 14*second, 14*second)
+		return &d
+	}
+	for _, tc := range []struct {
+		name string
+		do   func(now time.Duration) bool // whether the old primary may be replaced, or a member evicted
+		no   time.Duration
+		yes  time.Duration
+	}{
+		{"the leader itself replaces a primary, a member is silent", func(now time.Duration) bool {
+			d := granted()
+			d.Written(d.Record.WithGroup("g", d.Record.Groups["g"].Move(false)), 13*second, 13*second)
+			return d.OldPrimaryReleased("g", now)
+		}, 17 * second, 19 * second},
+		{"the leader itself evicts a silent member", func(now time.Duration) bool {
+			d := granted()
+			d.Written(d.Record, 13*second, 13*second)
+			_, changed := d.Members(now)
+			return changed
+		}, 17 * second, 19 * second},
+		{"the next leader is bound by its own promise", func(now time.Duration) bool {
+			d := claimed("c", false, lease.Bounds{Promised: 18 * second})
+			d.ReceiveHeartbeat(lease.Heartbeat{VM: "b", Version: 2}, 15*second)
+			return d.OldPrimaryReleased("g", now)
+		}, 17*second + second/2, 19 * second},
+		{"the former leader has granted long leases", func(now time.Duration) bool {
+			d := claimed("c", true, lease.Bounds{Promised: 30 * second})
+			d.ReceiveHeartbeat(lease.Heartbeat{VM: "a", Version: 2, Bound: 9 * second, Granted: 4 * second}, 15*second)
+			return d.OldPrimaryReleased("g", now)
+		}, 18*second + second/2, 20 * second},
+		{"an earlier process of this VM has granted long leases", func(now time.Duration) bool {
+			return claimed("a", true, lease.Bounds{Promised: 30 * second, Granted: 19 * second}).OldPrimaryReleased("g", now)
+		}, 18 * second, 20 * second},
+	} {
+		if tc.do(tc.no) {
+			t.Errorf("%s: at %v, while the leases last: got it done, want a wait", tc.name, tc.no)
+		}
+		if !tc.do(tc.yes) {
+			t.Errorf("%s: at %v, after the leases have ended: got a wait, want it done", tc.name, tc.yes)
+		}
+	}
+}
+
+// A new leader judges a primary only once the members have reported: the first report
+// may be that of the one VM that does not reach it (seen in kahu-mist trouble-3, where
+// a healthy primary was replaced 30 ms after a takeover).
+func TestNewLeaderWaitsForTheFirstReports(t *testing.T) {
+	base := record("a", "b", "c")
+	d := lease.Claim("c", base, base.Claim("c", "addr"), lease.Bounds{}, 10*second, 10*second)
+	bad := map[string]lease.Report{"g": {Epoch: 1, OKAge: -1, Failing: second, Refused: true}}
+	d.ReceiveHeartbeat(lease.Heartbeat{VM: "b", Version: 2, Reports: bad}, 10*second)
+	if got := d.Suspect("g", lease.Entry{}, 10*second+second/10); got != lease.CauseNone {
+		t.Errorf("one of two members has reported: got %q, want no replacement", got)
+	}
+	if got := d.Suspect("g", lease.Entry{}, 10*second+second/2); got == lease.CauseNone {
+		t.Error("the other one stays silent: got no replacement, want one")
+	}
+	d.ReceiveHeartbeat(lease.Heartbeat{VM: "a", Version: 2, Reports: bad}, 10*second)
+	if got := d.Suspect("g", lease.Entry{}, 10*second+second/10); got == lease.CauseNone {
+		t.Error("all members have reported: got no replacement, want one")
+	}
+}
+
 // The other side of such a partition takes leadership over. It must replace a
 // primary only once most members have confirmed the new leader, or once no
 // promise can last any longer.
@@ -539,7 +648,7 @@
 		base := record("a", "b", "c")
 		base.Settled = true
 		base.Groups["g"] = base.Groups["g"].Move(false)
-		d := lease.Claim(tc.self, base, base.Claim(tc.self, "addr"), 10*second, 10*second)
+		d := lease.Claim(tc.self, base, base.Claim(tc.self, "addr"), lease.Bounds{}, 10*second, 10*second)
 		tc.do(&d)
 		if got := d.OldPrimaryReleased("g", tc.now); got != tc.want {
 			t.Errorf("%s: got %v, want %v", tc.name, got, tc.want)
@@ -555,7 +664,7 @@
 	whole := record("a", "b")
 	base := whole.WithMembers([]string{"b"}, false)
 	base.Groups["g"] = base.Groups["g"].Move(false)
-	d := lease.Claim("b", base, base.Claim("b", "addr"), 10*second, 10*second)
+	d := lease.Claim("b", base, base.Claim("b", "addr"), lease.Bounds{}, 10*second, 10*second)
 	if d.OldPrimaryReleased("g", 11*second) {
 		t.Error("just after the claim: got the old primary released, want a wait for the evicted member's lease")
 	}
@@ -570,16 +679,20 @@
 // TestNobodyUsesAPrimaryThatIsReplaced after 3,806 runs).
 func TestRestartedVMDoesNotTrustAnyHolder(t *testing.T) {
 	for _, tc := range []struct {
-		name   string
-		listed bool
-		age    time.Duration
-		want   bool
+		name     string
+		listed   bool
+		age      time.Duration
+		proofAge time.Duration
+		want     bool
 	}{
-		{"just started, record not read", false, second, false},
-		{"just started, record read", true, second, true},
-		{"record not read for long", false, 3 * second, true},
+		{"just started, record not read", false, second, 2 * second, false},
+		{"just started, record read", true, second, 2 * second, true},
+		{"record not read for a lease time", false, 3 * second, 4 * second, false},
+		{"leadership proved since the start", false, second, second / 2, true},
+		{"leadership proved just before the start", false, second, second, false},
+		{"record not read for long", false, lease.HoldTime + second, 9 * second, true},
 	} {
-		if got := lease.MayAdopt(tc.listed, tc.age); got != tc.want {
+		if got := lease.MayAdopt(tc.listed, tc.age, tc.proofAge); got != tc.want {
 			t.Errorf("%s: got %v, want %v", tc.name, got, tc.want)
 		}
 	}
@@ -591,7 +704,7 @@
 func TestTakeoverWaitsForUnsettledTakeover(t *testing.T) {
 	base := record("a", "b", "c")
 	base.Groups["g"] = base.Groups["g"].Move(false)
-	d := lease.Claim("c", base, base.Claim("c", "addr"), 10*second, 10*second)
+	d := lease.Claim("c", base, base.Claim("c", "addr"), lease.Bounds{}, 10*second, 10*second)
 	d.ReceiveHeartbeat(lease.Heartbeat{VM: "a", Version: 2, Bound: 9 * second}, 11*second)
 	if d.OldPrimaryReleased("g", 15*second) {
 		t.Error("got the old primary released after a heartbeat of the last leader, want a wait for most members")
--- a/lease/model_test.go
+++ b/lease/model_test.go
@@ -16,6 +16,8 @@
 	side       int // side of the network partition, zero if there is none; only side 0 reaches the store
 	lease      lease.Lease
 	noClaim    time.Duration
+	noConfirm  time.Duration
+	granted    time.Duration // end of the long leases that it granted in earlier terms
 	started    time.Duration
 	recordRead bool // it has read the record since its start
 	stamp      lease.Stamp
@@ -32,14 +34,15 @@
 	vms     []*simVM
 }
 
-// oneOf draws true with a probability of about 1/n.
-func (s *sim) oneOf(n int) bool { return rapid.IntRange(1, n).Draw(s.T, "one of") == 1 }
+// oneOf draws true with a probability of about 1/n. Rapid prefers the ends of a
+// range, so a value in the middle stands for true.
+func (s *sim) oneOf(n int) bool { return rapid.IntRange(0, n).Draw(s.T, "one of") == n/2 }
 
 func (s *sim) drop() bool { return s.oneOf(6) }
 
 // advanceClock advances the time by up to 600 ms.
 func (s *sim) advanceClock() {
-	s.now += time.Duration(rapid.IntRange(0, 600).Draw(s.T, "ms")) * time.Millisecond
+	s.now += rapid.SampledFrom([]time.Duration{600, 300, 100, 0}).Draw(s.T, "ms") * time.Millisecond
 }
 
 // heartbeat sends a heartbeat from v to h, which answers with a lease if it
@@ -49,11 +52,12 @@
 		return
 	}
 	r := v.lease.Record
-	b := lease.Heartbeat{VM: v.name, Power: 1, Bound: max(0, max(v.noClaim, v.started+lease.PromiseTime)-s.now)}
+	b := lease.Heartbeat{VM: v.name, Power: 1, Bound: max(0, v.bounds().Promised-s.now), Granted: max(0, v.bounds().Granted-s.now)}
 	if r.Token == h.leader.Record.Token {
 		b.Version, b.Echo = r.Version, v.stamp.Echo(r.Token)
 		if b.Echo > 0 && v.recordRead && (v.side > 0 || s.oneOf(8)) {
 			b.Promise, v.noClaim = lease.PromiseTime, max(v.noClaim, s.now+lease.PromiseTime)
+			b.Hold, v.noConfirm = lease.HoldTime, max(v.noConfirm, s.now+lease.HoldTime)
 		}
 	}
 	sent := s.now
@@ -61,7 +65,7 @@
 		return
 	}
 	h.leader.ReceiveHeartbeat(b, s.now)
-	stamp, length, answer := s.now, h.leader.Lease(v.name, s.now), h.leader.Record
+	stamp, length, answer, proved := s.now, h.leader.Lease(v.name, s.now), h.leader.Record, h.leader.Confirmed
 	if s.drop() {
 		return
 	}
@@ -73,13 +77,25 @@
 	}
 	v.lease.Learn(answer)
 	if v.lease.Record.Token == answer.Token && v.lease.Record.Version == answer.Version {
-		if length > 0 && lease.MayAdopt(v.recordRead, s.now-v.started) {
+		if length > 0 && lease.MayAdopt(v.recordRead, sent-v.started, stamp-proved) {
 			v.lease.Adopt(answer, sent, length)
 		}
 		v.stamp = lease.Stamp{Token: answer.Token, At: stamp}
 	}
 }
 
+// bounds returns the times until which promises and leases of v, or of an earlier
+// process of it, may have to be respected.
+func (v *simVM) bounds() lease.Bounds {
+	granted := v.granted
+	if v.leader != nil {
+		granted = max(granted, v.leader.LongLeaseUntil())
+	}
+	return lease.Bounds{Promised: max(v.noConfirm, v.started+lease.HoldTime), Granted: max(granted, v.started+lease.HoldTime)}
+}
+
+func (v *simVM) stopLeading() { v.granted, v.leader = v.bounds().Granted, nil }
+
 // renewOwnLease renews the lease that a leader grants itself.
 func (s *sim) renewOwnLease(h *simVM) {
 	h.leader.ReceiveHeartbeat(lease.Heartbeat{VM: h.name, Version: h.leader.Record.Version, Power: 1}, s.now)
@@ -99,7 +115,7 @@
 		v.lease.Adopt(s.store, s.now, lease.LeaseTime-lease.ClockSlack)
 	}
 	if v.leader != nil && v.leader.Record.Token != s.store.Token {
-		v.leader = nil
+		v.stopLeading()
 	} else if v.leader != nil {
 		v.leader.Written(s.store, s.now, s.now) // proof of leadership, or a write whose answer was lost
 	}
@@ -145,7 +161,7 @@
 	}
 	base := s.store
 	s.store = base.Claim(v.name, "")
-	d := lease.Claim(v.name, base, s.store, s.now, s.now)
+	d := lease.Claim(v.name, base, s.store, v.bounds(), s.now, s.now)
 	v.leader = &d
 	v.lease.Learn(s.store)
 }
@@ -162,8 +178,8 @@
 		return
 	}
 	r := s.store.HandOver(to.name, "")
-	r.Settled = v.leader.EarlierLeasesEnded(s.now)
-	v.leader = nil
+	r.Settled = v.leader.EarlierLeasesEnded(s.now) && v.leader.LongLeasesEnded(s.now)
+	v.stopLeading()
 	if s.oneOf(4) {
 		s.delayed = append(s.delayed, r)
 		return
@@ -186,15 +202,12 @@
 	}
 }
 
-// repartition draws a new network partition: none, or one side with the store and
-// one without.
+// repartition draws a new network partition: none, an outage of the store for all
+// VMs, or one side with the store and one without.
 func (s *sim) repartition() {
-	noPartition := s.oneOf(3)
+	sides := rapid.SampledFrom([][2]int{{0, 0}, {1, 1}, {0, 1}, {0, 1}}).Draw(s.T, "sides")
 	for _, v := range s.vms {
-		v.side = 0
-		if !noPartition {
-			v.side = rapid.IntRange(0, 1).Draw(s.T, "side")
-		}
+		v.side = rapid.IntRange(sides[0], sides[1]).Draw(s.T, "side")
 	}
 }
 
@@ -202,7 +215,7 @@
 // second.
 func (s *sim) round() {
 	s.advanceClock()
-	if s.oneOf(8) {
+	if s.oneOf(5) {
 		s.repartition()
 	}
 	for _, v := range s.vms {
@@ -219,7 +232,7 @@
 			s.renewOwnLease(v)
 			s.checkLeases()
 			s.updateMembers(v)
-			if s.oneOf(6) {
+			if s.oneOf(20) {
 				s.startMove(v)
 			}
 			s.checkLeases()
@@ -262,7 +275,7 @@
 // it.
 func TestNobodyUsesAPrimaryThatIsReplaced(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		names := []string{"a", "b", "c", "d"}
+		names := []string{"a", "b", "c", "d"}[:rapid.IntRange(2, 4).Draw(t, "members")]
 		s := &sim{T: t, now: time.Minute}
 		s.store = lease.Record{Members: slices.Clone(names), Groups: map[string]lease.Group{"g": {Epoch: 1, Primary: "p", Term: 1}}, Version: 1}
 		for _, n := range append(names, "x") {
@@ -271,7 +284,7 @@
 			s.vms = append(s.vms, v)
 		}
 		s.claim(s.vms[0])
-		for range rapid.IntRange(1, 40).Draw(t, "rounds") {
+		for range rapid.IntRange(1, 60).Draw(t, "rounds") {
 			s.round()
 		}
 	})
--- a/lease/record.go
+++ b/lease/record.go
@@ -12,8 +12,9 @@
 // before the leader assumes so. It never lasts longer than LeaseTime after the
 // leader last proved, by a read or write of the record, that no other VM leads. A
 // leader that loses the store continues for a while on promises: members that
-// don't reach the store either promise not to claim leadership and not to confirm
-// another leader's record. A new leader replaces primaries only once most of the
+// don't reach the store either promise not to claim leadership for PromiseTime and
+// not to confirm another leader's record for HoldTime. Leases then last as long as
+// most members have promised, so that they outlast the leader. A new leader replaces primaries only once most of the
 // members that it found have confirmed its record, or once no promise can last
 // any longer.
 package lease
@@ -26,17 +27,21 @@
 	"github.com/pollendoor/pollendoor"
 )
 
-// LeaseTime is the longest duration of a lease. It bounds how long a promotion
+// LeaseTime is the longest duration of a lease that rests on a proof of leadership. It bounds how long a promotion
 // waits for a VM that is cut off, and how long the fleet can continue without
 // proof that its leader still leads.
 const LeaseTime = 2500 * time.Millisecond
 
-// PromiseTime is how long a member claims no leadership, and confirms no other
-// leader's record, after a heartbeat in which it promised so. It bounds how long
-// leases continue after the last heartbeat while the store is unreachable, and
-// how long a takeover waits because of such a promise.
+// PromiseTime is how long a member claims no leadership after a heartbeat in which
+// it promised so. It bounds how long a takeover waits because of such a promise.
 const PromiseTime = 2000 * time.Millisecond
 
+// HoldTime is how long a member confirms no other leader's record after a heartbeat
+// in which it promised so, and the longest duration of a lease that rests on such
+// promises. Such a lease outlasts the leader: when the leader is lost while the
+// store is unreachable, nobody can replace it, and nobody replaces a primary either.
+const HoldTime = 6 * time.Second
+
 // MajorityHoldTime is how long after its last proof a leader may continue on the
 // promises of most members. It is longer than most network partitions between VMs
 // and store last. A takeover that most members don't confirm waits as long before
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -255,21 +255,20 @@
 }
 
 // ApplyGrants sets the shares that the leader granted in answer to a report that was
-// sent at the time sent. Seq is the sequence number of the grants, and limits are
-// the limits of the teams. Shares of teams whose rate this VM does not keep are
-// ignored.
-func (b *Buckets) ApplyGrants(shares map[string]float64, seq uint64, limits map[string]pollendoor.TeamLimit, sent, now time.Duration) {
+// sent at the time sent, together with a lease. Limits are the limits of the teams.
+// Shares of teams whose rate this VM does not keep are ignored.
+func (b *Buckets) ApplyGrants(g Grants, limits map[string]pollendoor.TeamLimit, lease, sent, now time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.seq = seq
-	for name, s := range shares {
+	b.seq = g.Seq
+	for name, s := range g.Amounts {
 		t := b.bucket(name, now)
 		if !t.kept {
 			continue
 		}
 		l := limits[name]
 		t.fill(l, b.tolerance, b.peers, now)
-		t.share, t.expires = s, sent+GrantTTL
+		t.share, t.expires = s, sent+validity(lease)
 	}
 }
 
--- a/quota/large_test.go
+++ b/quota/large_test.go
@@ -123,7 +123,7 @@
 				return // there is no leader
 			}
 			grants := r.pool.Renew(quota.Report{VM: k.name, Source: source, Zone: fmt.Sprint(zone), Run: k.process, HeldShares: quota.HeldShares{Teams: held, Seq: seq}}, quota.Conditions{Zones: largeZones, VMs: 18, Division: r.division(at), Unreported: r.unreported}, at)
-			r.at(at+regionDelay, func(back time.Duration) { k.buckets.ApplyGrants(grants.Amounts, grants.Seq, limits, now, back) })
+			r.at(at+regionDelay, func(back time.Duration) { k.buckets.ApplyGrants(grants, limits, 0, now, back) })
 		})
 	}
 	r.at(now+time.Duration(r.rng.Int64N(int64(100*time.Millisecond))), heartbeat)
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -174,9 +174,15 @@
 	Zones      int // number of zones with VMs
 	VMs        int // number of VMs that may hold shares
 	Division   Division
-	Unreported int // number of VMs that may hold shares of an earlier leader and have not reported
+	Lease      time.Duration // lease that the VM is granted with its shares, which are valid as long if that is longer than GrantTTL
+	Unreported int           // number of VMs that may hold shares of an earlier leader and have not reported
 }
 
+// validity returns how long a share is valid that is granted together with a lease.
+// A lease is longer than usual while the store is unreachable. If the leader is lost
+// then, its shares have to last until there can be another one.
+func validity(lease time.Duration) time.Duration { return max(GrantTTL, lease) }
+
 // Renew processes a VM's report at the time now and returns the VM's new shares.
 func (p *Pool) Renew(r Report, conditions Conditions, now time.Duration) Grants {
 	if p.teams == nil {
@@ -206,7 +212,7 @@
 		own.budgeted = min(own.budgeted, own.outstanding(now)) // the part that was given back stays in the budget
 		a.setFrozen(conditions.Division == DivideFrozen, now)
 		amount := a.amount(own, allocationKey{r.VM, r.Source}, p.Reserves, conditions, now)
-		own.grants = append(own.grants, grant{seq: p.seq, amount: amount, expires: now + GrantTTL})
+		own.grants = append(own.grants, grant{seq: p.seq, amount: amount, expires: now + validity(conditions.Lease)})
 		own.budgeted = own.outstanding(now)
 		out[team] = amount
 	}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -139,7 +139,7 @@
 					h, seq := buckets[i].Report(now)
 					got := p.Renew(quota.Report{VM: fmt.Sprint(i), HeldShares: quota.HeldShares{Teams: h, Seq: seq}}, quota.Conditions{Zones: vms, Division: quota.DivideWhole}, now)
 					if rapid.IntRange(0, 4).Draw(t, "lost") > 0 {
-						buckets[i].ApplyGrants(got.Amounts, got.Seq, limits, now, now)
+						buckets[i].ApplyGrants(got, limits, 0, now, now)
 					}
 				}
 			}
@@ -176,7 +176,7 @@
 	renew := func(now time.Duration) float64 {
 		h, seq := old.Report(now)
 		got := p.Renew(quota.Report{VM: "old", HeldShares: quota.HeldShares{Teams: h, Seq: seq}}, quota.Conditions{Zones: 1, Division: quota.DivideWhole}, now)
-		old.ApplyGrants(got.Amounts, got.Seq, limits, now, now)
+		old.ApplyGrants(got, limits, 0, now, now)
 		return got.Amounts["t"]
 	}
 	if got := renew(time.Second); got < 0.99 {
@@ -205,7 +205,7 @@
 	b.Configure(tolerance, 1)
 	limits := map[string]pollendoor.TeamLimit{"t": limit}
 	b.SetKeptTeams(limits, 0)
-	b.ApplyGrants(map[string]float64{"t": 1}, 1, limits, 0, 0)
+	b.ApplyGrants(quota.Grants{Amounts: map[string]float64{"t": 1}, Seq: 1}, limits, 0, 0, 0)
 	for {
 		wait, decision := b.Admit("t", limit, patient, 0)
 		if decision != quota.Granted {
@@ -269,7 +269,7 @@
 		if tc.kept {
 			b.SetKeptTeams(limits, start)
 		}
-		b.ApplyGrants(map[string]float64{"t": tc.share}, 1, limits, start, start)
+		b.ApplyGrants(quota.Grants{Amounts: map[string]float64{"t": tc.share}, Seq: 1}, limits, 0, start, start)
 		if got := ask(&b, start+tc.after); got != tc.want {
 			t.Errorf("%s: got decision %d, want %d", tc.name, got, tc.want)
 		}
@@ -525,3 +525,33 @@
 		}
 	})
 }
+
+// Shares that were granted with a long lease last as long as the lease: the leader
+// may be lost while the store is away, and nobody else can renew them. The leader
+// does not grant them to others before.
+func TestSharesLastAsLongAsTheLease(t *testing.T) {
+	limits := map[string]pollendoor.TeamLimit{"t": {Rate: 100, Burst: 100}}
+	const lease = 6 * time.Second
+	report := func(vm, zone string) quota.Report {
+		return quota.Report{VM: vm, Zone: zone, Run: 1, HeldShares: quota.HeldShares{Teams: map[string]quota.HeldShare{"t": {Demand: 50}}}}
+	}
+	var pool quota.Pool
+	conditions := quota.Conditions{Zones: 1, VMs: 2, Lease: lease}
+	g := pool.Renew(report("a", "z"), conditions, time.Second)
+	var b quota.Buckets
+	b.SetKeptTeams(limits, time.Second)
+	b.ApplyGrants(g, limits, lease, time.Second, time.Second)
+	for _, tc := range []struct {
+		now  time.Duration
+		want bool
+	}{{quota.GrantTTL + 2*time.Second, true}, {lease + 2*time.Second, false}} {
+		held, _ := b.Report(tc.now)
+		if got := held["t"].Left > 0; got != tc.want {
+			t.Errorf("at %v: got a valid share %v, want %v", tc.now, got, tc.want)
+		}
+		other := pool.Renew(report("b", "y"), conditions, tc.now).Amounts["t"]
+		if got := other > 0; got == tc.want {
+			t.Errorf("at %v: got a share of %v for another VM, want one only after the first has expired", tc.now, other)
+		}
+	}
+}
