broker, fleet: a connection counts as refused by its error, not by its time

Cause: any failure of a new connection within 300 ms counted as a target that is down. Change: only a connection that nobody listens for counts.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -176,7 +176,7 @@
 	case closed:
 		r.Lost, r.Code = true, pollendoor.ErrConnLimit
 	default:
-		r.Lost = true
+		r.Lost, r.ConnRefused = true, errors.Is(err, syscall.ECONNREFUSED)
 		b.unreachableUntil = time.Now().Add(unreachablePause)
 	}
 	b.mu.Unlock()
--- a/fleet/health.go
+++ b/fleet/health.go
@@ -54,7 +54,7 @@
 		if h.failingSince == 0 {
 			h.failingSince = max(sent, 1)
 		}
-		h.connRefused = h.connRefused || r.Code == pollendoor.ErrMisrouted && now-sent < connRefusedWithin
+		h.connRefused = h.connRefused || r.ConnRefused
 	case r.Code == pollendoor.ErrMisrouted && !r.Sent:
 		if h.failingSince == 0 {
 			h.failingSince = max(sent, 1)
@@ -74,9 +74,6 @@
 	}
 }
 
-// connRefusedWithin distinguishes a refused connection from one that timed out.
-const connRefusedWithin = 300 * time.Millisecond
-
 // report returns what a heartbeat reports to the leader about a group's primary. It
 // reports false if there is nothing for this epoch.
 func (h *primaryHealth) report(epoch uint64, now time.Duration) (lease.Report, sample.Sample, bool) {
--- a/statement.go
+++ b/statement.go
@@ -120,15 +120,18 @@
 
 // Reply is the answer of a target to one statement.
 type Reply struct {
-	Rows      []string      `cbor:"1,keyasint,omitempty"`
-	Signature string        `cbor:"2,keyasint,omitempty"`
-	Code      ErrorCode     `cbor:"3,keyasint,omitempty"` // empty on success
-	Text      string        `cbor:"4,keyasint,omitempty"` // message of the error
-	State     byte          `cbor:"5,keyasint,omitempty"` // transaction status: I (idle), T (in a transaction) or E (failed transaction)
-	Position  Position      `cbor:"6,keyasint,omitempty"` // position of the target's log
-	Lost      bool          `cbor:"7,keyasint,omitempty"` // no complete answer was received
-	Sent      bool          `cbor:"8,keyasint,omitempty"` // the target may have run the statement
-	Delay     time.Duration `cbor:"9,keyasint,omitempty"` // expected time in the queue at the target's home VM
+	Rows      []string  `cbor:"1,keyasint,omitempty"`
+	Signature string    `cbor:"2,keyasint,omitempty"`
+	Code      ErrorCode `cbor:"3,keyasint,omitempty"` // empty on success
+	Text      string    `cbor:"4,keyasint,omitempty"` // message of the error
+	State     byte      `cbor:"5,keyasint,omitempty"` // transaction status: I (idle), T (in a transaction) or E (failed transaction)
+	Position  Position  `cbor:"6,keyasint,omitempty"` // position of the target's log
+	Lost      bool      `cbor:"7,keyasint,omitempty"` // no complete answer was received
+	// ConnRefused reports that nothing accepts connections at the target's address. It
+	// is set for observers of the target, not in replies to callers.
+	ConnRefused bool          `cbor:"-"`
+	Sent        bool          `cbor:"8,keyasint,omitempty"` // the target may have run the statement
+	Delay       time.Duration `cbor:"9,keyasint,omitempty"` // expected time in the queue at the target's home VM
 }
 
 // OK reports whether the target answered without an error.
