quota: short waits for tokens while a team stands over its rate

Cause: with several times its rate a team's operations wait 400 ms for their tokens all the time: as many are admitted as with short waits, and all are late. Change: once operations have waited for a second without a pause, the longest wait is 100 ms. A burst may still wait 400 ms.

--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -30,6 +30,14 @@
 // arrive in bursts.
 const MaxWait = 400 * time.Millisecond
 
+// standingWait is the longest such wait once operations have been waiting for longer
+// than standingTime without a pause. A queue that stands admits no more operations
+// than a short one, and makes all of them late.
+const (
+	standingWait = 100 * time.Millisecond
+	standingTime = time.Second
+)
+
 // zoneWait is the longest time that an operation waits for a token of its zone
 // before it requests one of the reserve. It is about a round trip between regions.
 const zoneWait = 50 * time.Millisecond
@@ -137,6 +145,7 @@
 	share              float64       // granted part of the team's allowance
 	expires            time.Duration // time at which the share expires
 	tokens             float64
+	queuedSince        time.Duration // since when operations have had to wait, zero if there was a token for the last one
 	filledAt           time.Duration // time up to which tokens were added
 	requested          float64       // operations counted since demand was last averaged
 	demand             float64       // moving average of operations per second
@@ -208,9 +217,18 @@
 		rate = max(rate, b.tolerance.sustainedRate(l)*t.share)
 	}
 	wait, ok := time.Duration(0), t.tokens >= 1
+	if ok {
+		t.queuedSince = 0
+	} else if t.queuedSince == 0 {
+		t.queuedSince = now
+	}
 	if !ok && rate > 0 {
+		maxWait := q.MaxWait
+		if now-t.queuedSince > standingTime {
+			maxWait = min(maxWait, standingWait)
+		}
 		wait = time.Duration((1 - t.tokens) / rate * float64(time.Second))
-		ok = wait <= q.MaxWait
+		ok = wait <= maxWait
 	}
 	if !ok && !shared && t.kept && now < t.keptSince+newKeeperGrace {
 		return 0, SharePending // the request is repeated, so it is not counted as demand yet
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -555,3 +555,41 @@
 		}
 	}
 }
+
+// Pattern: hot tenant. A team asks for several times its rate. While operations wait
+// for tokens without a pause, those that are admitted wait briefly, and as many are
+// admitted as with long waits. A burst may still wait for its tokens.
+func TestWaitsAreShortWhileATeamIsOverItsRate(t *testing.T) {
+	limits := map[string]pollendoor.TeamLimit{"t": {Rate: 100}}
+	request := quota.TokenRequest{MaxWait: quota.MaxWait}
+	var b quota.Buckets
+	b.SetKeptTeams(limits, 0)
+	admitted, longest := 0, time.Duration(0)
+	const settled, end = 2 * time.Second, 12 * time.Second
+	for now := time.Duration(0); now < end; now += 2 * time.Millisecond { // five times the rate
+		b.ApplyGrants(quota.Grants{Amounts: map[string]float64{"t": 1}}, limits, 0, now, now)
+		wait, decision := b.Admit("t", limits["t"], request, now)
+		if decision == quota.Granted && now >= settled {
+			admitted++
+			longest = max(longest, wait)
+		}
+	}
+	if got, want := admitted, int(0.98*100*(end-settled).Seconds()); got < want {
+		t.Errorf("got %d operations admitted, want %d or more", got, want)
+	}
+	if got, most := longest, 100*time.Millisecond; got > most {
+		t.Errorf("got a wait of %v while the team is over its rate, want %v at most", got, most)
+	}
+	// Nothing is asked for a while, then many operations at once.
+	now := end + time.Second
+	b.Admit("t", limits["t"], request, now)
+	longest = 0
+	for range 60 {
+		if wait, decision := b.Admit("t", limits["t"], request, now); decision == quota.Granted {
+			longest = max(longest, wait)
+		}
+	}
+	if got, least := longest, 300*time.Millisecond; got < least {
+		t.Errorf("got a longest wait of %v in a burst, want %v or more", got, least)
+	}
+}
