--- a/desim/desim.go
+++ b/desim/desim.go
@@ -258,7 +258,7 @@
 	home      *vm
 	primary   bool
 	lingering int             // connections of VMs that have lost power
-	incidence int             // number of power losses, so that work from before is dropped
+	outages   int             // number of power losses, so that work from before is dropped
 	freeAt    []time.Duration // when each slot of the target is free
 }
 
--- a/desim/fleet.go
+++ b/desim/fleet.go
@@ -58,7 +58,7 @@
 		for _, t := range list {
 			open := t.scheduler.Open()
 			t.lingering += open
-			t.incidence++
+			t.outages++
 			t.scheduler = broker.Scheduler{}
 			m.after(lingerTime, func() { t.lingering -= open })
 		}
--- a/desim/operation.go
+++ b/desim/operation.go
@@ -112,7 +112,7 @@
 // enqueue waits for a slot at a target until a time.
 func (o *operation) enqueue(t *target, until time.Duration) {
 	m := o.model
-	incidence := t.incidence
+	outages := t.outages
 	w := &broker.Waiter{Team: o.team, Priority: 1, Deadline: m.clock().Add(until - m.now)}
 	granted := false
 	w.Grant = func(c *broker.Conn) {
@@ -124,7 +124,7 @@
 		return
 	}
 	m.at(until, func() {
-		if !granted && (t.incidence != incidence || t.scheduler.Remove(w)) {
+		if !granted && (t.outages != outages || t.scheduler.Remove(w)) {
 			o.refuse(NoSlot)
 		}
 	})
@@ -133,7 +133,7 @@
 // run runs the operation on a connection, which it opens if c is nil.
 func (o *operation) run(t *target, c *broker.Conn, until time.Duration) {
 	m := o.model
-	incidence := t.incidence
+	outages := t.outages
 	dial := time.Duration(0)
 	if c == nil {
 		if t.scheduler.Open()+t.lingering > m.Conns {
@@ -151,7 +151,7 @@
 	}
 	sent := m.now
 	m.at(t.occupy(dial+m.exponential(m.Service), m.now), func() {
-		if t.incidence != incidence {
+		if t.outages != outages {
 			o.refuse(NoVM) // the VM has lost power; the caller tries a read again
 			return
 		}
--- a/fleet/admission.go
+++ b/fleet/admission.go
@@ -327,14 +327,14 @@
 }
 
 // applyGrants applies the shares that were granted in the answer to a heartbeat sent
-// at sent. Lease is the lease that was granted with them.
-func (r *admission) applyGrants(token uint64, grants []quota.Grants, lease, sent, now time.Duration) {
+// at sent. LeaseTime is the lease that was granted with them.
+func (r *admission) applyGrants(token uint64, grants []quota.Grants, leaseTime, sent, now time.Duration) {
 	c := r.vm.Config()
 	if c == nil || len(grants) != int(quota.NumSources) {
 		return
 	}
 	r.vm.setQuotaToken(token)
 	for s, g := range grants {
-		r.buckets[s].ApplyGrants(g, c.Teams, lease, sent, now)
+		r.buckets[s].ApplyGrants(g, c.Teams, leaseTime, sent, now)
 	}
 }
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -53,7 +53,7 @@
 
 // renewQuota renews the quota shares that a VM reports. A VM that is not a keeper
 // can only release shares: the next leader would not receive a report of shares
-// granted to it. leaseTime is the lease that the VM is granted with its shares.
+// granted to it. LeaseTime is the lease that the VM is granted with its shares.
 func (ld *leader) renewQuota(from vmlist.Peer, processID uint64, held []quota.HeldShares, leaseTime, now time.Duration) []quota.Grants {
 	conditions := quota.Conditions{Zones: ld.quotaZones(now), Division: ld.quotaDivision(now), Lease: leaseTime}
 	conditions.VMs, conditions.Unreported = ld.state.QuotaHolders()
--- a/lease/record.go
+++ b/lease/record.go
@@ -14,9 +14,9 @@
 // leader that loses the store continues for a while on promises: members that
 // don't reach the store either promise not to claim leadership for PromiseTime and
 // not to confirm another leader's record for HoldTime. Leases then last as long as
-// most members have promised, so that they outlast the leader. A new leader replaces primaries only once most of the
-// members that it found have confirmed its record, or once no promise can last
-// any longer.
+// most members have promised, so that they outlast the leader. A new leader replaces
+// primaries only once most of the members that it found have confirmed its record,
+// or once no promise can last any longer.
 package lease
 
 import (
@@ -27,9 +27,9 @@
 	"github.com/pollendoor/pollendoor"
 )
 
-// LeaseTime is the longest duration of a lease that rests on a proof of leadership. It bounds how long a promotion
-// waits for a VM that is cut off, and how long the fleet can continue without
-// proof that its leader still leads.
+// LeaseTime is the longest duration of a lease that rests on a proof of leadership.
+// It bounds how long a promotion waits for a VM that is cut off, and how long the
+// fleet can continue without promises while its leader can't prove its leadership.
 const LeaseTime = 2500 * time.Millisecond
 
 // PromiseTime is how long a member claims no leadership after a heartbeat in which
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -30,9 +30,9 @@
 // arrive in bursts.
 const MaxWait = 400 * time.Millisecond
 
-// standingWait is the longest such wait once operations have been waiting for longer
-// than standingTime without a pause. A queue that stands admits no more operations
-// than a short one, and makes all of them late.
+// standingWait replaces MaxWait once operations have been waiting for longer than
+// standingTime without a pause: a queue that stands admits no more operations than a
+// short one, and makes all of them late.
 const (
 	standingWait = 100 * time.Millisecond
 	standingTime = time.Second
