--- a/desim/desim.go
+++ b/desim/desim.go
@@ -51,15 +51,15 @@
 type Pattern struct {
 	Name    string
 	Answers string // what the pattern is for, in one line
-	Seed    uint64
+	Seed    uint64 // seed of the random choices
 	Zones   int
-	Groups  int
+	Groups  int // groups with the same load
 	Teams   []Team
-	Slots   int // slots of each target
-	Conns   int // connection limit of each target
-	Writes  float64
+	Slots   int     // slots of each target
+	Conns   int     // connection limit of each target
+	Writes  float64 // part of the operations that need the primary
 	Faults  []Fault
-	Length  time.Duration
+	Length  time.Duration // time in which operations arrive
 
 	Service   time.Duration // mean time of a statement at a target
 	Dial      time.Duration // time that a new connection occupies a slot
@@ -140,29 +140,6 @@
 // tolerance is what all VMs may admit beyond a team's limit.
 var tolerance = quota.Tolerance{Window: 5 * time.Second, Excess: 0.1, Margin: 20}
 
-// event is something that happens at a time.
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-// events is a heap of events, the first one to happen on top.
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 // model is a pattern while it is played.
 type model struct {
 	Pattern
--- a/desim/operation.go
+++ b/desim/operation.go
@@ -152,7 +152,7 @@
 	sent := m.now
 	m.at(t.occupy(dial+m.exponential(m.Service), m.now), func() {
 		if t.outages != outages {
-			o.refuse(NoVM) // the VM has lost power; the caller tries a read again
+			o.refuse(NoVM) // the home VM has lost power meanwhile
 			return
 		}
 		t.scheduler.Finish(c, m.now-sent, m.clock())
