Show that a planned stop cuts transactions in the midst of a statement

Cause: open transactions are ended once, at half of the grace period, and those that have a statement at a target at that moment are passed over. They go on until the process exits.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -27,6 +27,7 @@
 // An error means that the case could not run.
 var cases = map[string]func(r *record, trouble bool) (bool, error){
 	"sync": syncReplicas,
+	"stop": plannedStop,
 }
 
 func main() {
