Show a stale read after a route has moved to another group and back

Cause: a session keeps the position of its last commit for one group only, so a commit in a second group drops that of the first.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -28,6 +28,7 @@
 var cases = map[string]func(r *record, trouble bool) (bool, error){
 	"sync": syncReplicas,
 	"stop": plannedStop,
+	"flip": routeFlip,
 }
 
 func main() {
