Show that a draining replica with the newest log is passed over

Cause: lease.Next looks at targets that drain only if no other one answers. With syncReplicas a draining replica may be the only one that holds the last acknowledged commits.

Change: review/2, a script that lets the primary crash while one replica drains and the other one receives nothing for 6.5 s. The cases behind it move up by one number.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,4 +6,4 @@
 	echo "build the program as the deploy file does, and review/build.sh" >&2
 	exit 2
 fi
-exec target/review-harness flip review/3
+exec target/review-harness stop review/3
--- a/review/harness/database.go
+++ b/review/harness/database.go
@@ -66,6 +66,7 @@
 
 	// The service's mutex guards these.
 	down      bool
+	draining  bool
 	deaf      bool          // receives nothing
 	lag       time.Duration // time from receiving to applying a commit
 	primary   bool
--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -199,20 +199,31 @@
 // writeEntry writes a database's entry in the store.
 func (d *deployment) writeEntry(m *database) {
 	m.service.mu.Lock()
-	role, down := "replica", m.down
+	role, state, down := "replica", "ready", m.down
 	if m.primary {
 		role = "primary"
 	}
+	if m.draining {
+		state = "draining"
+	}
 	m.service.mu.Unlock()
 	if down {
 		return
 	}
 	d.store.Set("servers", m.id, map[string]any{
 		"service": m.service.name, "address": m.addr, "zone": m.zone, "version": "v1", "slots": m.service.slots,
-		"state": "ready", "coldLeftMs": 0, "dbRole": role, "seq": 1, "born": 1,
+		"state": state, "coldLeftMs": 0, "dbRole": role, "seq": 1, "born": 1,
 	})
 }
 
+// drain announces a planned shutdown of a database.
+func (d *deployment) drain(m *database) {
+	m.service.mu.Lock()
+	m.draining = true
+	m.service.mu.Unlock()
+	d.writeEntry(m)
+}
+
 // crash crashes a database for a time. Its entry is removed after three heartbeats
 // and is back when the database is.
 func (d *deployment) crash(m *database, length time.Duration) {
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -26,9 +26,10 @@
 // cases maps the name of a case to its function, which reports whether the rule held.
 // An error means that the case could not run.
 var cases = map[string]func(r *record, trouble bool) (bool, error){
-	"sync": syncReplicas,
-	"stop": plannedStop,
-	"flip": routeFlip,
+	"sync":  syncReplicas,
+	"stop":  plannedStop,
+	"flip":  routeFlip,
+	"drain": drainingReplica,
 }
 
 func main() {
--- a/review/harness/sync.go
+++ b/review/harness/sync.go
@@ -11,14 +11,27 @@
 )
 
 const (
+	drainTime = 7 * time.Second         // drainMs
 	deafTime  = 6500 * time.Millisecond // how long a replica receives nothing
 	crashTime = 7 * time.Second         // how long a primary is down
 )
 
 // syncReplicas lets one replica receive nothing for a while, and the primary crash
-// meanwhile, in a service whose commits wait for one replica. The rule LOST is broken
-// if an acknowledged commit is not in the log of the database that is promoted.
+// meanwhile. Clients press as usual.
 func syncReplicas(r *record, trouble bool) (bool, error) {
+	return loseCommits(r, trouble, 6, false)
+}
+
+// drainingReplica does the same under a light load, while the other replica is about
+// to be replaced.
+func drainingReplica(r *record, trouble bool) (bool, error) {
+	return loseCommits(r, trouble, 1, true)
+}
+
+// loseCommits plays a service whose commits wait for one replica, with a number of
+// readers at each machine. The rule LOST is broken if an acknowledged commit is not in
+// the log of the database that is promoted.
+func loseCommits(r *record, trouble bool, readers int, release bool) (bool, error) {
 	s := &service{name: "potes", slots: 3, maxConns: 22, syncReplicas: 1, workTime: 8 * time.Millisecond}
 	d, err := startDeployment(r, []*service{s}, []map[string]any{
 		route("contribuicao", "primary", "potes", time.Second, 600*time.Millisecond, 0),
@@ -57,8 +70,8 @@
 		})
 	}
 	for i, v := range d.vms {
-		for j := range 6 {
-			loop(v, "consulta-pote", 400*time.Millisecond, func(int) string { return fmt.Sprintf("FETCH w40-pot%d", i*6+j) }, func(reply) {})
+		for j := range readers {
+			loop(v, "consulta-pote", 400*time.Millisecond, func(int) string { return fmt.Sprintf("FETCH w40-pot%d", i*readers+j) }, func(reply) {})
 		}
 		loop(v, "contribuicao", 250*time.Millisecond, func(n int) string { return fmt.Sprintf("STORE gift%d %d", i, n) }, func(a reply) {
 			mu.Lock()
@@ -70,16 +83,25 @@
 		})
 	}
 	time.Sleep(4 * time.Second)
-	primary, deaf := s.members[0], s.members[1]
+	primary, deaf, current := s.members[0], s.members[1], s.members[2]
 	if trouble {
-		r.say("%s receives nothing for %v, up-to-date replica is %s", deaf.id, deafTime, s.members[2].id)
+		if release {
+			r.say("%s is draining and goes on serving for %v", current.id, drainTime)
+			d.drain(current)
+			time.Sleep(time.Second)
+		}
+		r.say("%s receives nothing for %v, up-to-date replica is %s", deaf.id, deafTime, current.id)
 		deaf.set(true, 60*time.Millisecond)
 		time.AfterFunc(deafTime, func() { deaf.set(false, 60*time.Millisecond) })
 		time.Sleep(2 * time.Second)
 		r.say("the primary %s crashes for %v", primary.id, crashTime)
 		d.crash(primary, crashTime)
 	}
-	time.Sleep(10 * time.Second)
+	if release {
+		time.Sleep(drainTime - 4*time.Second) // the draining database still serves
+	} else {
+		time.Sleep(10 * time.Second)
+	}
 	close(stop)
 	wg.Wait()
 	s.mu.Lock()
