review: no process outlives a script

Cause: a script that is killed, or stopped while it starts VMs, could leave processes behind.

Change: the kernel ends the VMs with the harness, and none starts once a case has ended.

--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -10,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -51,7 +53,6 @@
 
 	mu      sync.Mutex
 	version int
-	gone    map[string]bool // databases whose entries are not written
 }
 
 // startDeployment starts the stand-ins and count machines.
@@ -60,7 +61,10 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{record: r, dir: dir, services: services, routes: routes, gone: make(map[string]bool)}
+	started.Lock()
+	started.dirs = append(started.dirs, dir)
+	started.Unlock()
+	d := &deployment{record: r, dir: dir, services: services, routes: routes}
 	d.store = &fake.Store{Promote: d.promote}
 	address := d.store.Start()
 	for _, s := range services {
@@ -147,25 +151,56 @@
 // started holds the machines whose processes this program has started.
 var started struct {
 	sync.Mutex
-	vms []*vm
+	ended bool // no more processes may be started
+	vms   []*vm
+	dirs  []string // folders to remove at the end
 }
 
-// killAll ends all processes that this program has started and that still run.
-func killAll() {
+// endAll ends all processes that this program has started and that still run, removes
+// the temporary folders, and lets no further process start.
+func endAll() {
 	started.Lock()
 	defer started.Unlock()
+	started.ended = true
 	for _, v := range started.vms {
 		_ = v.signal(syscall.SIGKILL) // it may have exited
 		<-v.exited
 	}
+	for _, dir := range started.dirs {
+		if os.Getenv("KEEP_LOGS") != "" {
+			fmt.Println("logs:", dir)
+			continue
+		}
+		os.RemoveAll(dir)
+	}
+}
+
+// launches passes commands to the thread that starts them. The kernel ends a process
+// when the thread that started it ends, which is then only with this program.
+var launches = make(chan func())
+
+func launcher() {
+	runtime.LockOSThread()
+	for launch := range launches {
+		launch()
+	}
 }
 
-// start starts the process with the command of the deploy file.
+// start starts the process with the command of the deploy file. The process doesn't
+// outlive this program, however that ends.
 func (v *vm) start() error {
+	started.Lock()
+	defer started.Unlock()
+	if started.ended {
+		return errors.New("the case has ended")
+	}
 	v.cmd = exec.Command("target/pollenvm", "serve")
 	v.cmd.Env = []string{"POLLENDOOR_NODE_FILE=" + v.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	v.cmd.Stdout, v.cmd.Stderr = v.log, v.log
-	if err := v.cmd.Start(); err != nil {
+	v.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	result := make(chan error)
+	launches <- func() { result <- v.cmd.Start() }
+	if err := <-result; err != nil {
 		return err
 	}
 	v.exited = make(chan struct{})
@@ -173,8 +208,6 @@
 		_ = v.cmd.Wait() // the state has the reason
 		close(v.exited)
 	}()
-	started.Lock()
-	defer started.Unlock()
 	started.vms = append(started.vms, v)
 	return nil
 }
@@ -182,20 +215,6 @@
 // signal sends a signal to the machine's process.
 func (v *vm) signal(s syscall.Signal) error { return v.cmd.Process.Signal(s) }
 
-// close ends all processes that the deployment started.
-func (d *deployment) close() {
-	for _, v := range d.vms {
-		_ = v.signal(syscall.SIGKILL) // it may have exited
-		<-v.exited
-		v.log.Close()
-	}
-	if os.Getenv("KEEP_LOGS") == "" {
-		os.RemoveAll(d.dir)
-	} else {
-		fmt.Println("logs:", d.dir)
-	}
-}
-
 // writeEntry writes a database's entry in the store.
 func (d *deployment) writeEntry(m *database) {
 	m.service.mu.Lock()
--- a/review/harness/flip.go
+++ b/review/harness/flip.go
@@ -25,9 +25,6 @@
 		route("potes1-own", "read_your_writes", "potes1", time.Second, time.Second, 2500*time.Millisecond),
 		route("potes2-own", "read_your_writes", "potes2", time.Second, time.Second, 2500*time.Millisecond),
 	}, 9)
-	if d != nil {
-		defer d.close()
-	}
 	if err != nil {
 		return false, err
 	}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -42,6 +42,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(notRun)
 	}
+	go launcher()
 	code := make(chan int, 1)
 	go func() {
 		ok, err := cases[os.Args[1]](r, os.Getenv("TROUBLE") != "0")
@@ -58,7 +59,7 @@
 		}
 	}()
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	result := notRun
 	select {
 	case result = <-code:
@@ -67,7 +68,7 @@
 	case <-time.After(limit):
 		r.say("not run: longer than %v", limit)
 	}
-	killAll()
+	endAll()
 	if err := r.close(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 	}
--- a/review/harness/stop.go
+++ b/review/harness/stop.go
@@ -25,9 +25,6 @@
 		route("contribuicao", "primary", "potes", time.Second, 600*time.Millisecond, 0),
 		route("consulta-pote", "bounded_staleness", "potes", 2*time.Second, 1200*time.Millisecond, 1500*time.Millisecond),
 	}, 9)
-	if d != nil {
-		defer d.close()
-	}
 	if err != nil {
 		return false, err
 	}
--- a/review/harness/sync.go
+++ b/review/harness/sync.go
@@ -37,9 +37,6 @@
 		route("contribuicao", "primary", "potes", time.Second, 600*time.Millisecond, 0),
 		route("consulta-pote", "bounded_staleness", "potes", 2*time.Second, 1200*time.Millisecond, 1500*time.Millisecond),
 	}, 9)
-	if d != nil {
-		defer d.close()
-	}
 	if err != nil {
 		return false, err
 	}
