review/6: show two promotions by a leader that stops during a release

A leader that gets SIGTERM while it replaces a primary fails to hand over after a second, claims the leadership again at once, and starts a second replacement of the same group beside the one that goes on. The second one promotes another database while the fleet uses the first.

The script stops the leader of three VMs with SIGTERM while the primaries of three groups are released one after the other.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,4 +4,4 @@
 # have to run first.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/pollenvm ] && [ -x target/review2 ] || exit 2
-exec target/review2 frozen-neighbor review/10/record.txt
+exec target/review2 refused-setup review/10/record.txt
--- a/review/standin2/group.go
+++ b/review/standin2/group.go
@@ -39,11 +39,24 @@
 	ops     *registry
 	members []*database
 	sync    int // replicas that must have received a commit before it is acknowledged
+	// promoteTime is the time from the order of a promotion to its effect.
+	promoteTime time.Duration
+	answerTime  time.Duration // how long answers take on the way
+	connectTime time.Duration // how long a new connection occupies a slot
 
 	mu       sync.Mutex
 	breaches []string // broken rules that a database has seen
 	events   []string // what happened to the databases
 	promoted []promotion
+	late     []lateCommit
+}
+
+// lateCommit is a commit at a primary after the promotion of another one had taken effect.
+type lateCommit struct {
+	statement string
+	database  string
+	successor string
+	since     time.Time // when the promotion had taken effect
 }
 
 // promotion is a promotion that has taken effect.
@@ -84,41 +97,61 @@
 	// failsReset is whether DISCARD fails like other requests. It has run then, as the code
 	// FAILED says.
 	failsReset bool
-	deaf       bool // receives nothing from the primary
-	down       bool // crashed: accepts no connections
+	deaf       bool      // receives nothing from the primary
+	down       bool      // crashed or left: accepts no connections
+	draining   bool      // is about to leave
+	ledSince   time.Time // when it was promoted
 	conns      map[net.Conn]struct{}
 	slots      chan struct{}
 }
 
 func newGroup(name string, zones []string, syncReplicas int, store entryStore, ops *registry) (*group, error) {
-	g := &group{name: name, store: store, ops: ops, sync: syncReplicas}
-	for i, zone := range zones {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
+	g := &group{name: name, store: store, ops: ops, sync: syncReplicas, promoteTime: promoteTime}
+	for _, zone := range zones {
+		if err := g.add(zone); err != nil {
 			return nil, err
 		}
-		d := &database{
-			group: g, id: fmt.Sprintf("i-%s-%d", name, i+1), zone: zone, addr: l.Addr().String(), listener: l,
-			primary: i == 0, term: 1, born: time.Now().UnixMilli(), conns: make(map[net.Conn]struct{}),
-			slots: make(chan struct{}, databaseSlots),
-		}
-		g.members = append(g.members, d)
-		go d.accept(l)
-		d.publish()
 	}
 	return g, nil
 }
 
+// add starts a database of the group: the first one as the primary, the others as replicas
+// with the primary's log.
+func (g *group) add(zone string) error {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	g.mu.Lock()
+	d := &database{
+		group: g, id: fmt.Sprintf("i-%s-%d", g.name, len(g.members)+1), zone: zone, addr: l.Addr().String(), listener: l,
+		primary: len(g.members) == 0, term: 1, born: time.Now().UnixMilli(), conns: make(map[net.Conn]struct{}),
+		slots: make(chan struct{}, databaseSlots),
+	}
+	if p := g.leadingLocked(); p != nil {
+		d.followLocked(p)
+	}
+	g.members = append(g.members, d)
+	g.noteLocked("%s starts in %s", d.id, zone)
+	g.mu.Unlock()
+	go d.accept(l)
+	d.publish()
+	return nil
+}
+
 // publish writes the database's entry to the store. The caller must not hold the mutex.
 func (d *database) publish() {
 	d.group.mu.Lock()
-	role := "replica"
+	role, state := "replica", "ready"
 	if d.primary {
 		role = "primary"
 	}
+	if d.draining {
+		state = "draining"
+	}
 	entry := map[string]any{
 		"service": d.group.name, "address": d.addr, "zone": d.zone, "version": "v1", "slots": databaseSlots,
-		"state": "ready", "coldLeftMs": 0, "dbRole": role, "seq": 1, "born": d.born,
+		"state": state, "coldLeftMs": 0, "dbRole": role, "seq": 1, "born": d.born,
 	}
 	d.group.mu.Unlock()
 	d.group.store.Set("servers", d.id, entry)
@@ -186,7 +219,7 @@
 		return 409
 	}
 	born := next.born
-	time.AfterFunc(promoteTime, func() { g.takeOver(next, born) })
+	time.AfterFunc(g.promoteTime, func() { g.takeOver(next, born) })
 	return 200
 }
 
@@ -202,7 +235,7 @@
 		g.mu.Unlock()
 		return
 	}
-	next.primary, next.term = true, term+1
+	next.primary, next.term, next.ledSince = true, term+1, time.Now()
 	g.noteLocked("%s leads term %d with %d commits", next.id, next.term, len(next.log))
 	g.promoted = append(g.promoted, promotion{next.id, time.Now(), next.ids(), next.born != born})
 	for _, d := range g.members {
@@ -362,6 +395,12 @@
 		fmt.Fprintf(c, "ERROR MISROUTED %s\r\n", d.id)
 		return
 	}
+	if g.connectTime > 0 {
+		d.slots <- struct{}{}
+		time.Sleep(g.connectTime)
+		<-d.slots
+	}
+	time.Sleep(g.answerTime)
 	fmt.Fprintf(c, "READY I %s\r\n", d.position())
 	s := &dbSession{db: d, values: make(map[string]string), prepared: make(map[string]string)}
 	for {
@@ -375,6 +414,7 @@
 		}
 		id, text, _ := strings.Cut(rest, " ")
 		answer := s.query(id, text)
+		time.Sleep(g.answerTime)
 		if _, err := fmt.Fprintf(c, "%sREADY %s %s\r\n", answer, s.state(), d.position()); err != nil {
 			return
 		}
@@ -626,6 +666,11 @@
 	}
 	e := commit{term: d.term, writes: s.writes, ids: s.ids}
 	s.writes, s.ids = nil, nil
+	if p := d.group.leadingLocked(); p.term > d.term {
+		for _, id := range e.ids {
+			d.group.late = append(d.group.late, lateCommit{id, d.id, p.id, p.ledSince})
+		}
+	}
 	d.log = append(d.log, e)
 	index := len(d.log)
 	e.appliedAt = time.Now().Add(replicationLag)
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -26,6 +26,7 @@
 	"prepared-flood":  preparedFlood,
 	"refused-setup":   refusedSetup,
 	"start-again":     startAgain,
+	"stopping-leader": stoppingLeader,
 }
 
 func main() {
