platform, broker: a refused SET leaves no transaction open

Cause: Conn.Setup sends SET, PREPARE and BEGIN together. After a refused SET the target still runs the BEGIN, but runInternal returned the state of the refused reply, I. The broker returned the connection to its pool with the transaction open, and the next session's write ran in it. Ruled out: DISCARD, and the rollback at the end of a session.

A success in a state that the statement doesn't lead to counts as lost and its connection is closed; behind a BEGIN that opened no transaction nothing is sent. The fake connection of the broker's tests answered a BEGIN with the state I, which no target does; it now answers T.

--- a/broker/broker_test.go
+++ b/broker/broker_test.go
@@ -75,7 +75,15 @@
 	if open != pollendoor.OpenNone {
 		c.inTx = true
 	}
-	return pollendoor.Reply{Signature: "-", State: 'I'}
+	return pollendoor.Reply{Signature: "-", State: c.state()}
+}
+
+// state returns the transaction state after a successful statement.
+func (c *fakeConn) state() byte {
+	if c.inTx {
+		return 'T'
+	}
+	return 'I'
 }
 
 func (c *fakeConn) Run(w *pollendoor.Work, _ pollendoor.Position, _ time.Time) pollendoor.Reply {
@@ -92,11 +100,7 @@
 	if w.Commit {
 		c.inTx = false
 	}
-	state := byte('I')
-	if c.inTx {
-		state = 'T'
-	}
-	r := pollendoor.Reply{Signature: "sig", State: state}
+	r := pollendoor.Reply{Signature: "sig", State: c.state()}
 	for _, v := range c.values {
 		r.Rows = append(r.Rows, v.Name+"="+v.Value)
 	}
--- a/broker/turn.go
+++ b/broker/turn.go
@@ -316,16 +316,32 @@
 	if open != pollendoor.OpenNone {
 		openAfter, after = after, pollendoor.Position{}
 	}
-	if r := c.Setup(values, w.Prepared, open, openAfter, deadline); !r.OK() {
+	setup := c.Setup(values, w.Prepared, open, openAfter, deadline)
+	if setup.OK() && open != pollendoor.OpenNone && setup.State != 'T' {
+		setup = pollendoor.Reply{Lost: true, Text: "the target has opened no transaction"}
+	}
+	if !setup.OK() {
 		c.dirty = true
-		return unsentReply(r)
+		return unsentReply(setup)
 	}
 	c.values = w.Values
 	r := c.Run(w, after, deadline)
 	r.Sent = true
+	if want := stateAfter(w, pinned); r.OK() && r.State != want {
+		return pollendoor.Reply{Lost: true, Sent: true, Text: fmt.Sprintf("transaction state %c after the statement, want %c", r.State, want)}
+	}
 	return r
 }
 
+// stateAfter returns the transaction state in which a successful statement leaves its
+// connection: I (idle) or T (in a transaction).
+func stateAfter(w *pollendoor.Work, pinned bool) byte {
+	if !w.Commit && (pinned || w.Open != pollendoor.OpenNone) {
+		return 'T'
+	}
+	return 'I'
+}
+
 // unsentReply marks the reply to a reset or setup as one for which the caller's
 // statement was not sent. A lost reply becomes MISROUTED.
 func unsentReply(r pollendoor.Reply) pollendoor.Reply {
--- a/statement.go
+++ b/statement.go
@@ -199,7 +199,8 @@
 	// Reset clears the session values and the prepared statements.
 	Reset(deadline time.Time) Reply
 	// Setup sets session values, prepares a statement and opens a transaction,
-	// as far as each is given.
+	// as far as each is given. The state of the reply is that after all of them, also
+	// if one was refused.
 	Setup(values []Setting, shape *Shape, open Opening, after Position, deadline time.Time) Reply
 	// Run runs a caller's statement. The target refuses it if its log does not
 	// hold the position after.
