broker: a refused DISCARD leaves no session values assumed

The values were gone, but the broker went on to hold its list of them for true and returned the connection to its pool.

Change: from before a DISCARD until its success the connection counts as one of unknown values, which is reset again before its next use; one that is answered in a transaction is closed.

--- a/broker/schedule.go
+++ b/broker/schedule.go
@@ -51,7 +51,7 @@
 	Team string
 
 	values    []pollendoor.Setting // session values set on the connection
-	dirty     bool                 // a setup failed part-way, so the values and prepared names are uncertain
+	dirty     bool                 // a setup or reset failed, so the values and prepared names are uncertain
 	idleSince time.Time            // time at which the connection became idle
 }
 
--- a/broker/turn.go
+++ b/broker/turn.go
@@ -303,10 +303,16 @@
 			// Session values can't be removed within a transaction.
 			return pollendoor.Reply{Lost: true, Text: "connection holds session values of another session"}
 		}
-		if r := c.Reset(deadline); !r.OK() {
+		// A refused DISCARD may have been carried out.
+		c.values, c.dirty = nil, true
+		r := c.Reset(deadline)
+		if !r.OK() {
 			return unsentReply(r)
 		}
-		c.values, c.dirty = nil, false
+		if r.State != 'I' {
+			return unsentReply(pollendoor.Reply{Lost: true, Text: "idle connection is in a transaction"})
+		}
+		c.dirty = false
 	}
 	open, after := w.Open, w.After
 	if pinned {
