fleet, lease: tasks end with the tenure of the leader that began them

Cause: the handover used up its second waiting for the replacements, so its write always failed, and the VM claimed the leadership again with an empty table of tasks. The old replacement went on beside a second one of the same group, which ordered the promotion of another database. The extended model order.pml found a second way over two changes of the leader: a database that leads is put to use while the order of another one is under way. Ruled out: a late call of a former leader (both orders came from one process).

Change: tasks belong to a tenure, which ends when the leadership is handed over, lost or claimed again; no record and no order follows from them then. A group is changed only if it is as it was. A leaving VM claims only a leadership that the record gives it, and hands it over. A database that leads waits while the order of another one may take effect; the ordered one is preferred.

--- a/fleet/evacuation.go
+++ b/fleet/evacuation.go
@@ -257,10 +257,14 @@
 // demoteReturned asks the targets of zones that have returned to step down if they still
 // consider themselves primaries: they were not asked when they were replaced, to keep the
 // zone free of requests.
-func (ld *leader) demoteReturned(ctx context.Context, now time.Duration) {
+func (ld *leader) demoteReturned(now time.Duration) {
 	v := ld.vm
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
+	if !ld.isLeading() {
+		return
+	}
+	ctx := ld.tenure.ctx
 	var due []pollendoor.TargetInfo
 	for zone, at := range ld.returned {
 		if now < at+evac.ReturnTime {
--- a/fleet/failover.go
+++ b/fleet/failover.go
@@ -140,7 +140,7 @@
 		}
 	}
 	if len(groups) > 0 {
-		err := ld.updateRecord(ctx, func(r lease.Record) lease.Record { return r.WithGroups(groups) })
+		err := ld.updateRecord(ctx, func(r lease.Record) (lease.Record, bool) { return r.WithGroups(groups), true })
 		if err != nil {
 			v.Log.Warn().Err(err).Int("groups", len(groups)).Msg("groups not recorded")
 		}
@@ -159,7 +159,7 @@
 		return
 	}
 	v.Log.Info().Str("group", name).Str("primary", g.Primary).Str("cause", string(cause)).Msg("primary replacement started")
-	if err := ld.updateRecord(ctx, func(r lease.Record) lease.Record { return r.WithGroup(name, g.Move(planned)) }); err != nil {
+	if err := ld.updateGroup(ctx, name, g, g.Move(planned)); err != nil {
 		v.Log.Warn().Err(err).Str("group", name).Msg("replacement not recorded")
 		return
 	}
@@ -220,6 +220,9 @@
 	lastWait := lease.WaitNone
 	for ctx.Err() == nil && ld.isLeader() {
 		g := ld.group(name)
+		if !g.Moving {
+			return
+		}
 		choice := ld.chooseSuccessor(ctx, name, g, &succession)
 		if choice.Wait != lease.WaitNone {
 			if choice.Wait != lastWait {
@@ -237,15 +240,13 @@
 		c, term := choice.Next, choice.Next.Status.Term
 		if choice.Promote {
 			var ok bool
-			if term, ok = ld.promote(ctx, name, c.Target); !ok {
+			if term, ok = ld.promote(ctx, name, g, c.Target); !ok {
 				pollendoor.Pause(ctx, busyRetryPause)
 				continue
 			}
+			g = g.Order(c.Target.ID)
 		}
-		err := ld.updateRecord(ctx, func(r lease.Record) lease.Record {
-			return r.WithGroup(name, r.Groups[name].Settle(c.Target.ID, term))
-		})
-		if err != nil {
+		if err := ld.updateGroup(ctx, name, g, g.Settle(c.Target.ID, term)); err != nil {
 			v.Log.Warn().Err(err).Str("group", name).Msg("successor not recorded")
 			return
 		}
@@ -303,16 +304,23 @@
 		old, ok := v.targets.Get(g.Primary)
 		s.MayAsk = ok && v.useOf(old, clock.Now()) == evac.UseAll
 	}
+	ld.mu.Lock()
+	s.OrdersEnded = ld.state.EarlierCallsEnded(ld.callTime()+promotedTimeout, clock.Now())
+	ld.mu.Unlock()
 	return s.Next(g, syncReplicas, targets, v.targetStatuses(ctx, targets), clock.Now())
 }
 
-// promote orders a promotion and waits until the target is the primary. It returns
-// the target's term.
-func (ld *leader) promote(ctx context.Context, name string, t pollendoor.TargetInfo) (pollendoor.Term, bool) {
+// callTime bounds the time from the confirmation of a leadership to the end of a promotion
+// call that is based on it.
+func (ld *leader) callTime() time.Duration { return ld.vm.Platform.PromoteTime + maxOrderDelay }
+
+// promote orders the promotion of a target of the moving group g, and waits until the
+// target is the primary. It returns the target's term.
+func (ld *leader) promote(ctx context.Context, name string, g lease.Group, t pollendoor.TargetInfo) (pollendoor.Term, bool) {
 	v := ld.vm
-	for {
+	for ctx.Err() == nil {
 		ld.mu.Lock()
-		mayOrder := ld.state.EarlierCallsEnded(v.Platform.PromoteTime+maxOrderDelay, clock.Now())
+		mayOrder := ld.state.EarlierCallsEnded(ld.callTime(), clock.Now())
 		ld.mu.Unlock()
 		if mayOrder {
 			break
@@ -320,11 +328,8 @@
 		pollendoor.Pause(ctx, releasePoll)
 	}
 	// Recording the order also confirms that this VM is the leader.
-	confirmedAt := clock.Now()
-	err := ld.updateRecord(ctx, func(r lease.Record) lease.Record {
-		return r.WithGroup(name, r.Groups[name].Order(t.ID))
-	})
-	if err != nil {
+	token, confirmedAt := ld.token(), clock.Now()
+	if err := ld.updateGroup(ctx, name, g, g.Order(t.ID)); err != nil {
 		v.Log.Warn().Err(err).Str("group", name).Msg("not promoting: leadership not confirmed")
 		return 0, false
 	}
@@ -332,8 +337,8 @@
 		v.Log.Warn().Str("group", name).Msg("not promoting: confirming the leadership took too long")
 		return 0, false
 	}
-	status, err := v.Platform.Promote(ctx, name, t.ID, v.Settings.VM, ld.token())
-	v.Log.Info().Err(err).Int("status", status).Str("group", name).Str("target", t.ID).Uint64("token", ld.token()).Msg("promotion ordered")
+	status, err := v.Platform.Promote(ctx, name, t.ID, v.Settings.VM, token)
+	v.Log.Info().Err(err).Int("status", status).Str("group", name).Str("target", t.ID).Uint64("token", token).Msg("promotion ordered")
 	if err == nil && status != http.StatusOK && status/100 != 2 {
 		return 0, false
 	}
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -19,6 +19,9 @@
 	v := ld.vm
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
+	if !ld.isLeading() {
+		return // the leadership was lost or handed over meanwhile
+	}
 	reports := make(map[string]lease.Report)
 	for name, g := range ld.state.Record.Groups {
 		if r, _, ok := v.primaryHealth(name).report(g.Epoch, now); ok {
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -60,6 +60,9 @@
 // errNotLeader means that another VM is the leader.
 var errNotLeader = errors.New("leadership lost")
 
+// errOutdated means that the record has changed since a change of it was decided on.
+var errOutdated = errors.New("record has changed meanwhile")
+
 // leader does the work of the VM that leads the fleet.
 type leader struct {
 	vm *VM
@@ -81,14 +84,16 @@
 	zoneCount      int         // number of zones that have VMs in the view
 	recordHistory  lease.History
 	quotaPool      quota.Pool
-	spareAvailable bool            // whether the record that was found at the claim allows this leader to grant the spare tolerance
-	membersChanged time.Duration   // when the last change of the members was started
-	tasks          map[string]bool // running changes of the record: by group, or membersTask and newGroupsTask
+	spareAvailable bool          // whether the record that was found at the claim allows this leader to grant the spare tolerance
+	membersChanged time.Duration // when the last change of the members was started
+	tenure         *tenure       // that of the last claim, nil before it
+	handingOver    bool          // a successor is being recorded; this VM does not lead any more
 
 	returned map[string]time.Duration // zones whose evacuation has ended, until their targets were asked to step down
 
-	writeMu  sync.Mutex                     // serializes writes of the record
-	lookedUp atomic.Pointer[lookedUpRecord] // nil once it was used
+	writeMu    sync.Mutex                     // serializes writes of the record
+	handoverMu sync.Mutex                     // held while the leadership is handed over
+	lookedUp   atomic.Pointer[lookedUpRecord] // nil once it was used
 }
 
 // isLeader is isLeading for callers that do not hold mu.
@@ -138,7 +143,7 @@
 	now := clock.Now()
 	own := v.messenger.bounds()
 	ld.mu.Lock()
-	ld.leading, ld.objectVersion = true, objectVersion
+	ld.leading, ld.handingOver, ld.objectVersion = true, false, objectVersion
 	ld.state = lease.Claim(v.Settings.VM, r.Record, next.Record, own, start, now)
 	ld.livenessCounter = next.Liveness
 	ld.peers = map[string]vmlist.Peer{v.Settings.VM: v.selfPeer()}
@@ -150,7 +155,7 @@
 	ld.recordHistory.Add(r.Record)
 	ld.recordHistory.Add(next.Record)
 	ld.quotaPool, ld.spareAvailable = quota.Pool{Reserves: true}, !r.SpareGranted
-	ld.tasks = make(map[string]bool)
+	ld.beginTenure(ctx)
 	ld.mu.Unlock()
 	v.Log.Info().Uint64("token", next.Token).Str("before", r.Leader).Int("members", len(next.Members)).Msg("leadership claimed")
 	v.adoptRecord(next, "claim")
@@ -213,18 +218,26 @@
 
 // updateRecord changes the record in the store. After a failed write, whose response
 // may have been lost, it reads the record to find out whether the write was carried
-// out. It returns errNotLeader if this process is not the leader.
-func (ld *leader) updateRecord(ctx context.Context, change func(lease.Record) lease.Record) error {
+// out. It returns errNotLeader if this process is not the leader, or if ctx is that of a
+// tenure that has ended. If change reports false, nothing is written and the result is
+// errOutdated.
+func (ld *leader) updateRecord(ctx context.Context, change func(lease.Record) (lease.Record, bool)) error {
 	ld.writeMu.Lock()
 	defer ld.writeMu.Unlock()
 	for {
 		ld.mu.Lock()
-		leading, objectVersion, old := ld.isLeading(), ld.objectVersion, ld.state.Record
-		if !leading {
+		// The context of a tenure is cancelled with mu held, before the next one begins.
+		if !ld.isLeading() || ctx.Err() != nil {
 			ld.mu.Unlock()
 			return errNotLeader
 		}
-		next := ld.nextRecord(change(old))
+		objectVersion := ld.objectVersion
+		changed, ok := change(ld.state.Record)
+		if !ok {
+			ld.mu.Unlock()
+			return errOutdated
+		}
+		next := ld.nextRecord(changed)
 		ld.state.Propose(next.Members)
 		ld.mu.Unlock()
 		start := clock.Now()
@@ -252,6 +265,14 @@
 	}
 }
 
+// updateGroup replaces the state of a group in the record. It returns errOutdated if that
+// is not old any more.
+func (ld *leader) updateGroup(ctx context.Context, name string, old, next lease.Group) error {
+	return ld.updateRecord(ctx, func(r lease.Record) (lease.Record, bool) {
+		return r.WithGroup(name, next), r.Groups[name] == old
+	})
+}
+
 // noteRecordWritten adopts a record that this VM has written, and sends it to the
 // other VMs.
 func (ld *leader) noteRecordWritten(objectVersion uint64, r storedRecord, start time.Duration) {
@@ -298,16 +319,21 @@
 
 // confirm confirms that this process is the leader by reading the record.
 func (ld *leader) confirm(ctx context.Context) error {
-	start := clock.Now()
+	start, token := clock.Now(), ld.token()
 	objectVersion, r, err := ld.readRecord(ctx)
 	if err != nil {
 		ld.vm.stats.StoreErrors.Add(1)
 		return err
 	}
 	ld.mu.Lock()
+	if ld.state.Record.Token != token {
+		ld.mu.Unlock()
+		return errNotLeader // the record was read in an earlier tenure
+	}
 	if r.ProcessID != ld.vm.processID || r.Token != ld.state.Record.Token {
 		wasLeading := ld.leading
-		ld.leading = false
+		ld.leading, ld.handingOver = false, false
+		ld.tenure.end()
 		ld.mu.Unlock()
 		if wasLeading {
 			ld.vm.Log.Info().Uint64("token", r.Token).Str("holder", r.Leader).Msg("leadership lost")
@@ -362,8 +388,15 @@
 		if leading {
 			ld.refreshView(now, false)
 		}
-		livenessDue := now-ld.livenessWritten > livenessPeriod && len(ld.tasks) == 0
+		livenessDue := now-ld.livenessWritten > livenessPeriod && !ld.tenure.hasTasks()
+		if !leading {
+			ld.tenure.end()
+		}
+		handoverDue := ld.vm.leaving.Load() && (leading || ld.handingOver)
 		ld.mu.Unlock()
+		if handoverDue {
+			go ld.retryHandover(ctx)
+		}
 		if !leading {
 			continue
 		}
@@ -381,77 +414,68 @@
 				ld.writeLiveness(ctx)
 			}()
 		}
-		ld.updateMembers(ctx, now)
-		ld.checkGroups(ctx, now)
-		ld.demoteReturned(ctx, now)
+		ld.updateMembers(now)
+		ld.checkGroups(now)
+		ld.demoteReturned(now)
 	}
 }
 
 // updateMembers records the members and the quota keepers as VMs come and go.
-func (ld *leader) updateMembers(ctx context.Context, now time.Duration) {
+func (ld *leader) updateMembers(now time.Duration) {
 	ld.mu.Lock()
+	defer ld.mu.Unlock()
 	list, changed := ld.state.Members(now)
 	keepers, keepersChanged := ld.state.Keepers(now)
 	keepEvicted := ld.state.KeepEvicted(now)
-	due := (changed || keepersChanged) && now-ld.membersChanged > memberChangePeriod && !ld.tasks[membersTask]
-	if due {
-		ld.membersChanged = now
-		ld.tasks[membersTask] = true
-	}
-	ld.mu.Unlock()
-	if !due {
+	if !changed && !keepersChanged || now-ld.membersChanged <= memberChangePeriod || !ld.isLeading() || ld.tenure.tasks[membersTask] {
 		return
 	}
-	go func() {
-		err := ld.updateRecord(ctx, func(r lease.Record) lease.Record {
+	ld.membersChanged = now
+	ld.startTask(membersTask, func(ctx context.Context) {
+		err := ld.updateRecord(ctx, func(r lease.Record) (lease.Record, bool) {
 			if changed {
-				return r.WithMembers(list, keepEvicted)
+				return r.WithMembers(list, keepEvicted), true
 			}
-			return r.WithKeepers(keepers)
+			return r.WithKeepers(keepers), true
 		})
 		l := ld.vm.Log.Info()
 		if err != nil {
 			l = ld.vm.Log.Warn().Err(err)
 		}
 		l.Int("members", len(list)).Strs("keepers", keepers).Bool("written", err == nil).Msg("members changed")
-		ld.finishTask(membersTask)
-	}()
+	})
 }
 
-// membersTask and newGroupsTask are the keys in tasks for a change of the members
-// and for recording new groups. No group has such a name.
-const (
-	membersTask   = "/members"
-	newGroupsTask = "/found"
-)
-
 // checkGroups starts the tasks that the groups need.
-func (ld *leader) checkGroups(ctx context.Context, now time.Duration) {
+func (ld *leader) checkGroups(now time.Duration) {
 	c := ld.vm.Config()
 	if c == nil {
 		return
 	}
 	ld.mu.Lock()
 	defer ld.mu.Unlock()
+	if !ld.isLeading() {
+		return
+	}
 	var unknown []string
 	for name := range c.Groups {
 		g, recorded := ld.state.Record.Groups[name]
 		if !recorded && len(unknown) < maxNewGroups {
 			unknown = append(unknown, name)
 		}
-		if !recorded || ld.tasks[name] || len(ld.tasks) >= maxTasks {
+		if !recorded || ld.tenure.tasks[name] || len(ld.tenure.tasks) >= maxTasks {
 			continue
 		}
 		if g.Moving {
-			ld.startTask(name, func() { ld.failOver(ctx, name, "taken over from an earlier holder") })
+			ld.startTask(name, func(ctx context.Context) { ld.failOver(ctx, name, "taken over from an earlier holder") })
 			continue
 		}
 		if cause := ld.state.Suspect(name, ld.vm.targetEntry(g.Primary), now); cause != lease.CauseNone {
-			ld.startTask(name, func() { ld.replacePrimary(ctx, name, g, cause) })
+			ld.startTask(name, func(ctx context.Context) { ld.replacePrimary(ctx, name, g, cause) })
 		}
 	}
-	if len(unknown) > 0 && !ld.tasks[newGroupsTask] {
-		ld.startTask(newGroupsTask, func() { ld.recordNewGroups(ctx, unknown) })
+	if len(unknown) > 0 && !ld.tenure.tasks[newGroupsTask] {
+		ld.startTask(newGroupsTask, func(ctx context.Context) { ld.recordNewGroups(ctx, unknown) })
 	}
 }
 
@@ -462,23 +486,6 @@
 	return lease.Entry{Target: t, Missing: missing, Evacuated: evacuated}
 }
 
-// startTask runs work in the background as a task under the given name, which
-// usually is a group. The caller holds mu.
-func (ld *leader) startTask(name string, work func()) {
-	ld.tasks[name] = true
-	go func() {
-		work()
-		ld.finishTask(name)
-	}()
-}
-
-// finishTask marks a task as finished.
-func (ld *leader) finishTask(name string) {
-	ld.mu.Lock()
-	defer ld.mu.Unlock()
-	delete(ld.tasks, name)
-}
-
 // otherTargets returns the targets of a group except one.
 func (ld *leader) otherTargets(group, excluded string) []pollendoor.TargetInfo {
 	var list []pollendoor.TargetInfo
--- a/fleet/messenger.go
+++ b/fleet/messenger.go
@@ -274,7 +274,7 @@
 		}
 	}
 	evidence := m.claimEvidence(&r, silent, now)
-	if !lease.MayClaim(evidence, now) {
+	if !lease.MayClaim(evidence, now) || !v.leader.mayClaim(&r) {
 		return
 	}
 	if r.Leader != v.Settings.VM && evidence.FleetRestarted() {
--- a/lease/succession.go
+++ b/lease/succession.go
@@ -64,6 +64,9 @@
 	// primary could not be asked because of the evacuation of its zone.
 	Reached pollendoor.Position
 	MayAsk  bool // the old primary may be asked for its position
+	// OrdersEnded is set if no promotion that an earlier leader has ordered could take effect
+	// any more when the targets were asked.
+	OrdersEnded bool
 
 	started time.Duration            // time of the first call of Next
 	listed  map[string]time.Duration // by target ID, when the target was last listed
@@ -97,7 +100,8 @@
 			if whole == nil || c.Status.Term > whole.Status.Term {
 				whole = &c
 			}
-			mayBeSuperseded := c.Status.Term == g.Term && g.Ordered != ""
+			// The promotion of another target that was ordered may take effect later.
+			mayBeSuperseded := g.Ordered != "" && (c.Status.Term == g.Term || g.Ordered != c.Target.ID && !s.OrdersEnded)
 			if !mayBeSuperseded && (leading == nil || c.Status.Term > leading.Status.Term) {
 				leading = &c
 			}
@@ -113,7 +117,7 @@
 		s.asked = s.asked || s.MayAsk && now >= s.started+primaryAnswerTimeout
 		return s.nextElsewhere(g, syncReplicas, targets, replicas, now)
 	}
-	if c, ok := Newest(staying); ok && whole != nil && !whole.position().Newer(c.position()) {
+	if c, ok := newestFor(g, staying); ok && whole != nil && !whole.position().Newer(c.position()) {
 		return Choice{Next: c, Promote: true}
 	}
 	switch {
@@ -124,7 +128,7 @@
 	case g.Planned && whole == nil && now < s.started+primaryAnswerTimeout:
 		return Choice{Wait: WaitPrimary}
 	}
-	next, ok := Newest(replicas)
+	next, ok := newestFor(g, replicas)
 	hasWhole := ok && whole != nil && !whole.position().Newer(next.position())
 	switch {
 	case !ok:
@@ -216,6 +220,18 @@
 	})
 }
 
+// newestFor is Newest, but among equals it chooses the target whose promotion was ordered
+// before, which may take effect at any time.
+func newestFor(g Group, list []Candidate) (Candidate, bool) {
+	best, ok := Newest(list)
+	for _, c := range list {
+		if c.Target.ID == g.Ordered && c.position() == best.position() && (best.Target.Draining || !c.Target.Draining) {
+			best = c
+		}
+	}
+	return best, ok
+}
+
 // Newest chooses the target to promote: the one with the most advanced log, and
 // among equals one that is not draining. It reports false if the list is empty.
 func Newest(list []Candidate) (Candidate, bool) {
--- a/lease/succession_test.go
+++ b/lease/succession_test.go
@@ -41,6 +41,8 @@
 		{"old primary is draining", moving, []lease.Candidate{p("old", 1, true), r("a", 5)}, "a", true},
 		{"old primary is draining, no other target", moving, []lease.Candidate{p("old", 1, true)}, "old", false},
 		{"promotion ordered, not in effect yet", moving.Order("a"), []lease.Candidate{p("old", 1, false), r("a", 5)}, "a", true},
+		{"promotion ordered, another target has the same log", moving.Order("b"), []lease.Candidate{r("a", 5), r("b", 5)}, "b", true},
+		{"promotion ordered, another target has a newer log", moving.Order("b"), []lease.Candidate{r("a", 6), r("b", 5)}, "a", true},
 		{"promotion ordered, its target not reached", moving.Order("a"), []lease.Candidate{p("old", 1, false)}, "", false},
 		{"promotion in effect, old primary still leads its term", moving.Order("a"), []lease.Candidate{p("old", 1, false), p("a", 2, false)}, "a", false},
 		{"primary restarted without its log", lease.Group{Term: 3}.Move(false), []lease.Candidate{p("old", 1, false), r("a", 5)}, "a", true},
@@ -54,6 +56,34 @@
 	}
 }
 
+// Guards against two primaries: a target that leads is used although the promotion of
+// another one, ordered by an earlier leader, takes effect later.
+func TestTargetIsNotUsedWhileAnotherMayBePromoted(t *testing.T) {
+	list := []lease.Candidate{
+		{Target: pollendoor.TargetInfo{ID: "a"}, Status: pollendoor.TargetStatus{Role: pollendoor.Primary, Term: 2, LastTerm: 1, Index: 5}},
+		replicaAt("b", 5),
+	}
+	moving := lease.Group{Epoch: 1, Primary: "old", Term: 1}.Move(false)
+	for _, tc := range []struct {
+		name        string
+		g           lease.Group
+		ordersEnded bool
+		want        string
+		promote     bool
+	}{
+		{"no order recorded", moving, false, "a", false},
+		{"its own promotion ordered", moving.Order("a"), false, "a", false},
+		{"promotion of another target ordered", moving.Order("b"), false, "b", true},
+		{"promotion of another target ordered long ago", moving.Order("b"), true, "a", false},
+	} {
+		s := lease.Succession{OrdersEnded: tc.ordersEnded}
+		got := s.Next(tc.g, 0, nil, list, time.Second)
+		if got.Next.Target.ID != tc.want || got.Promote != tc.promote {
+			t.Errorf("%s: got %+v, want %q (promote %v)", tc.name, got, tc.want, tc.promote)
+		}
+	}
+}
+
 func TestNewest(t *testing.T) {
 	c := func(id string, term, index uint64, draining bool) lease.Candidate {
 		return lease.Candidate{
--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -41,6 +41,8 @@
 		{"order", ""},
 		{"order", "UNRECORDED"},
 		{"order", "ANYTIME"},
+		{"order", "OLDTASK"},
+		{"order", "ANYLEADER"},
 		{"lease", ""},
 		{"lease", "NOWAIT"},
 		{"lease", "FROMANSWER"},
