quota, clock: a share near zero admits nothing

Cause: Buckets.Admit converted the time until a token to a duration without a bound. With a share near zero it is out of range, and x86-64 makes a negative wait of it, so that the operation was admitted at once. arm64 gives the longest duration.

Change: clock.Seconds bounds the conversion. It is used wherever the value depends on a share, a limit or a setting; limit.Buckets had the same fault. A refusal reports an hour at most.

--- a/evac/cold.go
+++ b/evac/cold.go
@@ -1,8 +1,9 @@
 package evac
 
 import (
-	"math"
 	"time"
+
+	"github.com/pollendoor/pollendoor/clock"
 )
 
 const (
@@ -132,7 +133,7 @@
 	c.tokens = min(max(burst, needed), c.tokens+l.PerS*(now-c.at).Seconds())
 	c.at = now
 	if missing := needed - c.tokens; missing > 0 {
-		return time.Duration(math.Ceil(missing / l.PerS * float64(time.Second))), false
+		return clock.Seconds(missing/l.PerS) + 1, false // rounded up
 	}
 	c.tokens -= float64(n)
 	return 0, true
--- a/fleet/evacuation.go
+++ b/fleet/evacuation.go
@@ -33,7 +33,7 @@
 // startEvacuations sets the state before the first set of evacuated zones is known.
 func (v *VM) startEvacuations() {
 	if v.followsEvacuations() {
-		limit := time.Duration(v.Settings.EvacuateMs * float64(time.Millisecond))
+		limit := clock.Seconds(v.Settings.EvacuateMs / 1000)
 		v.evacuations.Store(evac.NewState(limit, clock.Now()))
 	}
 }
--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/clock"
 	"github.com/pollendoor/pollendoor/conf"
 	"github.com/pollendoor/pollendoor/quota"
 )
@@ -127,12 +128,12 @@
 }
 
 // Grace returns the duration of a planned stop.
-func (s *Settings) Grace() time.Duration { return time.Duration(s.GraceS * float64(time.Second)) }
+func (s *Settings) Grace() time.Duration { return clock.Seconds(s.GraceS) }
 
 // tolerance returns what all VMs together may admit beyond a team's limit.
 func (s *Settings) tolerance() quota.Tolerance {
 	return quota.Tolerance{
-		Window: time.Duration(s.QuotaWindowS * float64(time.Second)),
+		Window: clock.Seconds(s.QuotaWindowS),
 		Excess: s.QuotaExcess, Margin: s.QuotaMargin, Buckets: len(s.Zones) + int(quota.NumSources) - 1,
 	}
 }
--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/pollendoor/pollendoor/clock"
 )
 
 // TotalUnits is the number of units that a team's allowance over all VMs is divided
@@ -57,7 +59,7 @@
 	if rate <= 0 {
 		return 0, false
 	}
-	wait := time.Duration(missing / rate * float64(time.Second))
+	wait := clock.Seconds(missing / rate)
 	if wait > maxWait {
 		return 0, false
 	}
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pollendoor/pollendoor"
+	"github.com/pollendoor/pollendoor/clock"
 )
 
 // demandTimeConstant is the time constant of the moving average of demand.
@@ -38,6 +39,10 @@
 // before return together, and the buckets are nearly empty.
 const LongestWait = time.Second
 
+// longestRefill bounds the reported time until a bucket has a token. A share near zero
+// changes much sooner.
+const longestRefill = time.Hour
+
 // standingWait replaces MaxWait once operations have been waiting for longer than
 // standingTime without a pause: a queue that stands admits no more operations than a
 // short one, and makes all of them late.
@@ -322,7 +327,7 @@
 			// Once the share has expired, another VM may have it.
 			maxWait = min(maxWait, t.expires-now)
 		}
-		wait = time.Duration((1 - t.tokens) / rate * float64(time.Second))
+		wait = min(clock.Seconds((1-t.tokens)/rate), longestRefill)
 		ok = wait <= maxWait
 	}
 	pending := t.kept && now < t.keptSince+newKeeperGrace || b.startedAt > 0 && now < b.startedAt+startGrace
--- a/quota/credit.go
+++ b/quota/credit.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/pollendoor/pollendoor/clock"
 )
 
 // unused is the leader's record of the part of a team's allowance that no VM could
@@ -102,7 +104,7 @@
 	}
 	u.part = whole
 	free := whole - others - current
-	full := time.Duration(t.burst(l) / t.sustainedRate(l) * float64(time.Second))
+	full := clock.Seconds(t.burst(l) / t.sustainedRate(l))
 	u.saved = min(u.saved, scale(full, free))
 	if amount <= current || free <= 0 {
 		return 0
@@ -114,5 +116,5 @@
 
 // scale returns d times a factor, or zero if either is negative.
 func scale(d time.Duration, factor float64) time.Duration {
-	return time.Duration(float64(max(0, d)) * max(0, factor))
+	return clock.Seconds(max(0, d).Seconds() * max(0, factor))
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -638,3 +639,22 @@
 		t.Errorf("got a longest wait of %v in a burst, want %v or more", got, least)
 	}
 }
+
+// Guards against operations without a token: the time until a bucket with a share near
+// zero has one is out of the range of a duration, and x86-64 converts it to a negative one.
+func TestShareNearZeroAdmitsNothing(t *testing.T) {
+	for _, share := range []float64{1e-9, 1e-12, 1e-300, math.SmallestNonzeroFloat64} {
+		var b quota.Buckets
+		b.Configure(quota.Tolerance{Window: 5 * time.Second}, 1)
+		l := pollendoor.TeamLimit{Rate: 1, Burst: 1}
+		now := time.Hour
+		b.SetKeptTeams(map[string]pollendoor.TeamLimit{"a": l}, now)
+		b.ApplyGrants(quota.Grants{Amounts: map[string]float64{"a": share}}, map[string]pollendoor.TeamLimit{"a": l}, 2*time.Second, now, now)
+		for range 3 {
+			wait, d := b.Admit("a", l, quota.TokenRequest{MaxWait: quota.MaxWait}, now)
+			if d == quota.Granted || wait < quota.MaxWait {
+				t.Errorf("share %g: got %v with a wait of %v, want a refusal with a longer wait", share, d, wait)
+			}
+		}
+	}
+}
