quota: a share that expired before a claim is not renewed

Cause: a VM's share expires, the leader grants it to others and is lost. The VM reports to the next leader, which takes the expired share for free and renews it, while the others use theirs.

Change: a report says how long ago a share has expired, and a leader does not count one that expired before its claim. The test passes that time as a VM does; its bound is unchanged.

TestExpiredShareMayBeGrantedToOthers is new.

--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -66,7 +66,8 @@
 	conditions := quota.Conditions{
 		Zones: ld.quotaZones(now), Division: ld.quotaDivision(now), Lease: leaseTime,
 		Members: ld.state.Record.Members, Tolerance: ld.vm.Settings.tolerance(),
-		Peers: max(ld.vm.admission.peers(), len(ld.state.Record.Members)), Spare: ld.spareAvailable && now < ld.state.Claimed+spareTime,
+		Claimed: ld.state.Claimed,
+		Peers:   max(ld.vm.admission.peers(), len(ld.state.Record.Members)), Spare: ld.spareAvailable && now < ld.state.Claimed+spareTime,
 	}
 	conditions.VMs, conditions.Unreported = ld.state.QuotaHolders()
 	if c := ld.vm.Config(); c != nil {
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -371,6 +371,9 @@
 		}
 		if t.kept || t.usedAt > now-idleBucketTTL {
 			h := HeldShare{Amount: t.share, Left: max(0, t.expires-now), Demand: t.demand, Released: !t.kept}
+			if t.share > 0 && now > t.expires {
+				h.Expired = now - t.expires
+			}
 			if h.Released && now < t.busyUntil {
 				h.Amount, h.Left = t.released, t.busyUntil-now
 			}
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -158,6 +158,8 @@
 	// Released reports whether another VM is the keeper of the team's rate now. Left is
 	// then the time until the last operation begins that has got a token of the share.
 	Released bool `cbor:"4,keyasint,omitempty"`
+	// Expired is how long ago the share has expired, zero if it is in use.
+	Expired time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // HeldShares are the shares of one source that a VM reports, by team.
@@ -204,6 +206,7 @@
 	Division   Division
 	Lease      time.Duration // lease that the VM is granted with its shares, which are valid as long if that is longer than GrantTTL
 	Unreported int           // number of VMs that may hold shares of an earlier leader and have not reported
+	Claimed    time.Duration // time before which an earlier leader may have granted shares, zero if there was none
 	// Members are the VMs that may run operations.
 	Members []string
 	// Limits and Tolerance are the limits of the teams and what may be admitted beyond.
@@ -236,7 +239,7 @@
 			a = &account{allocations: make(map[allocationKey]*allocation), orphaned: make(map[string]estimate)}
 			p.teams[team] = a
 		}
-		own := a.allocation(&r, h, now)
+		own := a.allocation(&r, h, conditions.Claimed, now)
 		if h.Released {
 			own.budgeted = 0 // the released share stays in the budget of a frozen account
 			a.release(own, now)
@@ -273,10 +276,14 @@
 	return Grants{Amounts: out, Seq: p.seq, Credits: credits}
 }
 
+// reportDelay bounds the time from a VM's report to its arrival at the leader.
+const reportDelay = 300 * time.Millisecond
+
 // allocation returns the record of the VM that reports. If this is the first report
 // of the VM's process, the record is new and includes the share that an earlier
-// leader granted.
-func (a *account) allocation(r *Report, h HeldShare, now time.Duration) *allocation {
+// leader granted before claimed, unless that leader may have granted it to another VM
+// since it expired.
+func (a *account) allocation(r *Report, h HeldShare, claimed, now time.Duration) *allocation {
 	own := a.allocations[allocationKey{r.VM, r.Source}]
 	if own != nil && own.process == r.Run {
 		return own
@@ -288,7 +295,8 @@
 		a.release(own, now)
 	}
 	own = &allocation{process: r.Run, source: r.Source, zone: r.Zone}
-	if !h.Released { // another VM may have been granted a released share
+	regranted := h.Expired > 0 && now-h.Expired-reportDelay < claimed
+	if !h.Released && !regranted { // another VM may have been granted a released share
 		own.inherited = h.Amount
 	}
 	if h.Left <= 0 {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -545,7 +545,7 @@
 				if !v.reported {
 					v.reported, v.seq = true, 0
 				}
-				p, conditions.Division = &next, quota.DivideReported
+				p, conditions.Division, conditions.Claimed = &next, quota.DivideReported, lostAt
 				for _, o := range vms {
 					if !o.reported {
 						conditions.Unreported++
@@ -560,6 +560,10 @@
 				source = quota.FirstReserve + quota.Source(i-zones)
 			}
 			h := held(v.amount, max(0, v.until-now), rapid.Float64Range(0, 50).Draw(t, "demand"))
+			if s := h["t"]; v.amount > 0 && now > v.until {
+				s.Expired = now - v.until
+				h["t"] = s
+			}
 			got := p.Renew(quota.Report{VM: fmt.Sprint(i), Source: source, Zone: fmt.Sprint(i), Run: v.run, HeldShares: quota.HeldShares{Seq: v.seq, Teams: h}}, conditions, now)
 			if rapid.IntRange(0, 4).Draw(t, "answered") > 0 {
 				v.amount, v.until, v.seq = got.Amounts["t"], now+quota.GrantTTL, got.Seq
@@ -658,3 +662,37 @@
 		}
 	}
 }
+
+// Guards against shares beyond the whole after a change of the leader: a share that had
+// expired was granted to another VM, and then renewed by the next leader.
+func TestExpiredShareMayBeGrantedToOthers(t *testing.T) {
+	const claimed = time.Minute
+	for _, tc := range []struct {
+		name    string
+		expired time.Duration // before the report, which comes 100 ms after the claim
+		want    float64
+	}{
+		{"long before the claim", 20 * time.Second, 0},
+		{"just before the claim", 150 * time.Millisecond, 0},
+		{"in use", 0, 0.2},
+	} {
+		p := quota.Pool{Reserves: true}
+		h := quota.HeldShare{Amount: 0.2, Expired: tc.expired}
+		if tc.expired == 0 {
+			h.Left = time.Second
+		}
+		g := p.Renew(quota.Report{VM: "a", Zone: "a", Run: 1, HeldShares: quota.HeldShares{Teams: map[string]quota.HeldShare{"t": h}}},
+			quota.Conditions{Zones: 1, VMs: 4, Division: quota.DivideReported, Unreported: 3, Claimed: claimed}, claimed+100*time.Millisecond)
+		if got := g.Amounts["t"]; got > tc.want+1e-9 || got < tc.want-1e-9 {
+			t.Errorf("%s: got a share of %v, want %v", tc.name, got, tc.want)
+		}
+	}
+	var b quota.Buckets
+	limits := map[string]pollendoor.TeamLimit{"t": {Rate: 10, Burst: 10}}
+	b.SetKeptTeams(limits, 0)
+	b.ApplyGrants(quota.Grants{Amounts: map[string]float64{"t": 0.2}}, limits, time.Second, time.Second, time.Second)
+	held, _ := b.Report(time.Second + quota.GrantTTL + 700*time.Millisecond)
+	if got, want := held["t"].Expired, 700*time.Millisecond; got != want {
+		t.Errorf("got a share that has expired %v ago, want %v", got, want)
+	}
+}
