fleet, broker, lease: a primary that lost its log serves no reads

Cause: a read at the primary carried no position, and any answer but READONLY counted as a sign that the primary is well.

Change: reads and openings of transactions at a primary carry the newest position that its home VM has seen of it in this epoch, so that the database refuses them if its log lacks it. That is reported as a lost log, and the primary is replaced (CauseReborn).

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -40,6 +40,9 @@
 	// Observe is called after each request to the target, with the reply and the
 	// time on the boot clock at which the request was sent. It may be nil.
 	Observe func(t pollendoor.TargetInfo, r pollendoor.Reply, sent time.Duration)
+	// Reached returns a position that the target's log is known to hold, zero for none. It
+	// may be nil.
+	Reached func(t pollendoor.TargetInfo) pollendoor.Position
 	// OnDial is called before each connection attempt. It may be nil.
 	OnDial func()
 	// OnQueue is called when a statement has left the queue of an adaptive target, with
--- a/broker/turn.go
+++ b/broker/turn.go
@@ -294,6 +294,7 @@
 // run sets up the session values, prepared statement and transaction that the
 // statement needs, and then runs the statement.
 func (t *Session) run(c *Conn, w *pollendoor.Work, pinned bool, deadline time.Time) pollendoor.Reply {
+	b := t.broker
 	values, reset := missingValues(c.values, w.Values)
 	if c.dirty {
 		values, reset = w.Values, true
@@ -317,6 +318,8 @@
 	open, after := w.Open, w.After
 	if pinned {
 		open = pollendoor.OpenNone
+	} else if after.IsZero() && (!w.Write || open != pollendoor.OpenNone) {
+		after = b.reached()
 	}
 	openAfter := pollendoor.Position{}
 	if open != pollendoor.OpenNone {
@@ -348,6 +351,15 @@
 	return 'I'
 }
 
+// reached returns a position that the target's log is known to hold. A target that lacks it
+// has started again without its log, and refuses the statement.
+func (b *Broker) reached() pollendoor.Position {
+	if b.Reached == nil {
+		return pollendoor.Position{}
+	}
+	return b.Reached(b.Target())
+}
+
 // unsentReply marks the reply to a reset or setup as one for which the caller's
 // statement was not sent. A lost reply becomes MISROUTED.
 func unsentReply(r pollendoor.Reply) pollendoor.Reply {
--- a/caller/operation.go
+++ b/caller/operation.go
@@ -308,7 +308,7 @@
 	if o.work.Elsewhere && r.Code == pollendoor.ErrBusy && !r.Sent && r.Avoid > 0 {
 		o.decision.Attempts-- // refused because of an ejection, which costs the target nothing
 	}
-	if needsLease && (r.Code == pollendoor.ErrReadOnly || r.Code == pollendoor.ErrMisrouted || r.Evacuated) {
+	if needsLease && (r.Code == pollendoor.ErrReadOnly || r.Code == pollendoor.ErrLagging || r.Code == pollendoor.ErrMisrouted || r.Evacuated) {
 		o.refusedEpoch = epoch
 	}
 	if r.OK() && needsLease && !c.HoldsLease(o.route.Group, epoch) {
--- a/fleet/failover.go
+++ b/fleet/failover.go
@@ -304,6 +304,9 @@
 		old, ok := v.targets.Get(g.Primary)
 		s.MayAsk = ok && v.useOf(old, clock.Now()) == evac.UseAll
 	}
+	if newest, ok := v.positionRing(name).Newest(); ok {
+		s.Known = newest.Position
+	}
 	ld.mu.Lock()
 	s.OrdersEnded = ld.state.EarlierCallsEnded(ld.callTime()+promotedTimeout, clock.Now())
 	ld.mu.Unlock()
--- a/fleet/health.go
+++ b/fleet/health.go
@@ -24,6 +24,7 @@
 	failingSince time.Duration // when it stopped answering, zero if it answers
 	connRefused  bool
 	demoted      bool
+	lostLog      bool          // it lacks a position that it had
 	newestSample sample.Sample // newest log position that this VM has read from it
 }
 
@@ -61,6 +62,8 @@
 		}
 	case r.Code == pollendoor.ErrReadOnly:
 		h.demoted = true
+	case r.Code == pollendoor.ErrLagging && h.newestSample.Position.Newer(r.Position):
+		h.lostLog = true
 	default:
 		h.failingSince, h.connRefused = 0, false
 		h.lastOK = max(h.lastOK, sent)
@@ -74,6 +77,22 @@
 	}
 }
 
+// reachedPosition returns a position that the log of a primary has reached in the present
+// epoch, and zero for other targets.
+func (v *VM) reachedPosition(t pollendoor.TargetInfo) pollendoor.Position {
+	g := v.lease.Load().Record.Groups[t.Group]
+	if g.Primary != t.ID {
+		return pollendoor.Position{}
+	}
+	h := v.primaryHealth(t.Group)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.epoch != g.Epoch {
+		return pollendoor.Position{}
+	}
+	return h.newestSample.Position
+}
+
 // report returns what a heartbeat reports to the leader about a group's primary. It
 // reports false if there is nothing for this epoch.
 func (h *primaryHealth) report(epoch uint64, now time.Duration) (lease.Report, sample.Sample, bool) {
@@ -82,7 +101,7 @@
 	if h.epoch != epoch || h.lastContact == 0 {
 		return lease.Report{}, sample.Sample{}, false
 	}
-	r := lease.Report{Epoch: epoch, OKAge: -1, Refused: h.connRefused, Demoted: h.demoted}
+	r := lease.Report{Epoch: epoch, OKAge: -1, Refused: h.connRefused, Demoted: h.demoted, LostLog: h.lostLog}
 	if h.lastOK > 0 {
 		r.OKAge = now - h.lastOK
 	}
--- a/fleet/homevms.go
+++ b/fleet/homevms.go
@@ -152,6 +152,7 @@
 	b := &broker.Broker{
 		Dial:    h.vm.Platform.Dial,
 		Observe: h.vm.observeReply,
+		Reached: h.vm.reachedPosition,
 		OnDial:  func() { h.vm.stats.Dials.Add(1) },
 		OnQueue: h.vm.stats.queues.add,
 		Admit:   h.admitCold(t.ID),
--- a/lease/leader.go
+++ b/lease/leader.go
@@ -47,6 +47,7 @@
 	Failing time.Duration `cbor:"3,keyasint"`           // how long attempts have been failing; zero if they succeed
 	Refused bool          `cbor:"4,keyasint,omitempty"` // the primary refused a connection
 	Demoted bool          `cbor:"5,keyasint,omitempty"` // the primary answered that it does not lead
+	LostLog bool          `cbor:"6,keyasint,omitempty"` // the primary lacks a position that it had in this epoch
 }
 
 type member struct {
@@ -487,7 +488,7 @@
 		return CauseDraining
 	}
 	var lastOK time.Duration
-	failing, refused, demoted := false, false, false
+	failing, refused, demoted, lostLog := false, false, false, false
 	for name := range l.reporters[group] {
 		m := l.members[name]
 		r, ok := m.reports[group]
@@ -500,12 +501,15 @@
 		failing = failing || r.Failing > 0
 		refused = refused || r.Refused
 		demoted = demoted || r.Demoted
+		lostLog = lostLog || r.LostLog
 	}
 	if now < l.Claimed+firstReportsTime && !l.AllMembersReported() {
 		return CauseNone // some members may have reached the primary
 	}
 	silent := now - lastOK
 	switch {
+	case lostLog && silent > refusedTimeout:
+		return CauseReborn
 	case demoted && silent > refusedTimeout:
 		return CauseDemoted
 	case refused && silent > refusedTimeout:
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -348,6 +348,7 @@
 		{"silent for a short time", report(lease.Report{OKAge: second / 2, Failing: second / 2}), entry, lease.CauseNone},
 		{"refuses connections", report(lease.Report{OKAge: second / 2, Failing: second / 2, Refused: true}), entry, lease.CauseRefused},
 		{"demoted", report(lease.Report{OKAge: second / 2, Demoted: true}), entry, lease.CauseDemoted},
+		{"lost its log", report(lease.Report{OKAge: second / 2, LostLog: true}), entry, lease.CauseReborn},
 		{"draining", report(lease.Report{OKAge: 0}), lease.Entry{Target: pollendoor.TargetInfo{ID: "p", Draining: true}}, lease.CauseDraining},
 		{"its zone is evacuated", report(lease.Report{OKAge: 0}), lease.Entry{Target: pollendoor.TargetInfo{ID: "p"}, Evacuated: true}, lease.CauseEvacuated},
 		{"its zone is evacuated, and nobody reaches it", report(lease.Report{OKAge: 2 * second, Failing: second}), lease.Entry{Target: pollendoor.TargetInfo{ID: "p"}, Evacuated: true}, lease.CauseSilent},
--- a/lease/succession.go
+++ b/lease/succession.go
@@ -64,6 +64,8 @@
 	// primary could not be asked because of the evacuation of its zone.
 	Reached pollendoor.Position
 	MayAsk  bool // the old primary may be asked for its position
+	// Known is a position that the group's log has reached, zero if none is known.
+	Known pollendoor.Position
 	// OrdersEnded is set if no promotion that an earlier leader has ordered could take effect
 	// any more when the targets were asked.
 	OrdersEnded bool
@@ -89,6 +91,8 @@
 		switch {
 		case c.Status.Role != pollendoor.Primary && s.away(c.Target):
 			// It may not be chosen, and does not count as having answered.
+		case c.Status.Role != pollendoor.Primary && c.position().IsZero() && !s.Known.IsZero() && now < s.started+lostTargetTimeout:
+			// It has lost its log. It may be promoted if no other target returns.
 		case c.Status.Role != pollendoor.Primary:
 			replicas = append(replicas, c)
 			if !c.Target.Draining {
--- a/lease/succession_test.go
+++ b/lease/succession_test.go
@@ -111,6 +111,23 @@
 	}
 }
 
+// Guards against the promotion of a target that has started again without its log, as the
+// first one to answer.
+func TestTargetWithoutALogIsNotPromoted(t *testing.T) {
+	g := lease.Group{Epoch: 1, Primary: "old", Term: 1}.Move(false)
+	s := lease.Succession{Known: pollendoor.Position{Term: 1, Index: 5}}
+	empty := []lease.Candidate{replicaAt("old", 0)}
+	if got := s.Next(g, 0, nil, empty, time.Second); got.Wait != lease.WaitReplica {
+		t.Errorf("got %+v, want to wait for another target", got)
+	}
+	if got := s.Next(g, 0, nil, append(empty, replicaAt("a", 4)), 2*time.Second); got.Next.Target.ID != "a" {
+		t.Errorf("got %+v, want a", got)
+	}
+	if got := s.Next(g, 0, nil, empty, time.Minute); got.Next.Target.ID != "old" {
+		t.Errorf("no other target returns: got %+v, want the one without a log", got)
+	}
+}
+
 // replicaAt returns a replica that has received the log up to an index of term 1.
 func replicaAt(id string, index uint64) lease.Candidate {
 	return lease.Candidate{
