cmd/pollenvm: SIGHUP does not end a process before main

Cause: the Go runtime handles all signals before main, and SIGHUP then ends the process by default until main listens to it.

--- a/soak/signals_test.go
+++ b/soak/signals_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -67,3 +68,66 @@
 		t.Errorf("got %q (%v), want the line of a started VM", line, err)
 	}
 }
+
+// Guards against a process that ends by SIGHUP because the Go runtime does not ignore the
+// signal before main runs. Nothing of the program can prevent that before the loader has
+// finished.
+func TestHangupBeforeMain(t *testing.T) {
+	store := &fake.Store{}
+	address := store.Start()
+	defer store.Close()
+	file := filepath.Join(t.TempDir(), "settings.yaml")
+	if err := os.WriteFile(file, []byte(strings.ReplaceAll(startSettings, "STORE", address)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	binary := buildBinary(t)
+	for range 20 {
+		cmd := exec.Command(binary, "serve")
+		cmd.Env = []string{"POLLENDOOR_NODE_FILE=" + file}
+		out, err := cmd.StdoutPipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		for !handlesHangup(t, cmd.Process.Pid) {
+		}
+		for range 200 {
+			_ = cmd.Process.Signal(syscall.SIGHUP) // fails if the process has ended
+		}
+		line, err := bufio.NewReader(out).ReadString('\n')
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		if err != nil || !strings.Contains(line, `"message":"start"`) {
+			t.Fatalf("got %q (%v), want the line of a started VM", line, err)
+		}
+	}
+}
+
+// handlesHangup reports whether a process ignores SIGHUP or has a handler for it. It reports
+// true if the process has ended.
+func handlesHangup(t *testing.T, pid int) bool {
+	t.Helper()
+	raw, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/status")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(raw)) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), ":\t")
+		if name == "State" && strings.HasPrefix(value, "Z") {
+			return true
+		}
+		if name != "SigIgn" && name != "SigCgt" {
+			continue
+		}
+		mask, err := strconv.ParseUint(value, 16, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if mask&1 != 0 { // SIGHUP is signal 1
+			return true
+		}
+	}
+	return false
+}
