fleet: texts that are not UTF-8 cross between VMs

Cause: the CBOR decoder of the streams between VMs refuses such texts.

Change: it accepts them, and leaves them unchanged.

--- a/fleet/streams.go
+++ b/fleet/streams.go
@@ -84,9 +84,19 @@
 	closed      bool
 }
 
+// streamDecoding accepts texts that are not UTF-8: statements and rows cross between VMs
+// unchanged.
+var streamDecoding = func() cbor.DecMode {
+	m, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return m
+}()
+
 // newStream returns a stream over the connection c.
 func newStream(s *streams, c net.Conn) *stream {
-	st := &stream{streams: s, conn: c, dec: cbor.NewDecoder(bufio.NewReaderSize(c, streamBufferSize))}
+	st := &stream{streams: s, conn: c, dec: streamDecoding.NewDecoder(bufio.NewReaderSize(c, streamBufferSize))}
 	st.enc = cbor.NewEncoder(&st.sendBuffer)
 	st.ip, _, _ = net.SplitHostPort(c.RemoteAddr().String()) // a TCP address always has a port
 	return st
