fleet: a coordinator that stands still is asked once

Cause: a VM asked the coordinator three times, a second each, before it asked the VM that had announced the newer configuration. Ruled out: its watch, and the versions in the leader's answers.

Change: a query to the coordinator takes 500 ms at most, and one without an answer is the last one to that VM in the same update. The fetch of targets does likewise.

--- a/fleet/catchup.go
+++ b/fleet/catchup.go
@@ -67,20 +67,45 @@
 // receive an update before it asks again.
 const coordinatorRetryPause = 120 * time.Millisecond
 
+// coordinatorTimeout bounds a query to the coordinator of the zone, which may stand still.
+// There is time left for the VM that has announced the update.
+const coordinatorTimeout = 500 * time.Millisecond
+
 // maxConfigBytes bounds the decompressed size of a configuration from another VM.
 const maxConfigBytes = 8 << 20
 
+// updateSource is a VM to catch up from.
+type updateSource struct {
+	vmlist.Peer
+	timeout time.Duration // for one query
+}
+
 // updateSources returns the VMs to catch up from, in order: the coordinator of the
 // zone several times, which costs least and receives the same updates, and then the
 // VM that has announced newer versions.
-func (m *messenger) updateSources(from vmlist.Peer) []vmlist.Peer {
-	list := []vmlist.Peer{from}
+func (m *messenger) updateSources(from vmlist.Peer) []updateSource {
+	list := []updateSource{{from, queryTimeout}}
 	if coordinators := *m.vm.coordinators.Load(); len(coordinators) > 0 && coordinators[0].Name != from.Name && coordinators[0].Name != m.vm.Settings.VM {
-		list = []vmlist.Peer{coordinators[0], coordinators[0], coordinators[0], from}
+		c := updateSource{coordinators[0], coordinatorTimeout}
+		list = []updateSource{c, c, c, list[0]}
 	}
 	return list
 }
 
+// queryUpdate queries a source for an update. One that has not answered a query before is
+// not asked again: it would take the time that is left for the others.
+func (m *messenger) queryUpdate(s updateSource, request streamRequest, silent map[string]bool) (streamResponse, error) {
+	if silent[s.Name] {
+		return streamResponse{}, errSilent
+	}
+	r, err := m.vm.streams.query(s.Peer, request, s.timeout)
+	silent[s.Name] = err != nil
+	return r, err
+}
+
+// errSilent means that a VM was not asked because it has not answered lately.
+var errSilent = errors.New("VM has not answered before")
+
 // fetchConfig fetches the configuration from other VMs until this VM has at least the
 // given version.
 func (m *messenger) fetchConfig(from vmlist.Peer, version uint64) {
@@ -89,15 +114,16 @@
 	if v.isWatcher() {
 		time.Sleep(configWatchDelay)
 	}
+	silent := make(map[string]bool)
 	for i, p := range m.updateSources(from) {
-		if i > 0 {
+		if i > 0 && !silent[p.Name] {
 			time.Sleep(coordinatorRetryPause)
 		}
 		if c := v.config.Load(); c != nil && c.Version >= version {
 			return
 		}
-		r, err := v.streams.query(p, streamRequest{Config: true})
-		if err == nil && r.Config == nil {
+		r, err := m.queryUpdate(p, streamRequest{Config: true}, silent)
+		if errors.Is(err, errSilent) || err == nil && r.Config == nil {
 			continue // the peer has no configuration yet
 		}
 		var raw []byte
@@ -124,18 +150,19 @@
 	mismatched := m.targetsDifferSince > 0 && clock.Now()-m.targetsDifferSince > targetsWatchDelay
 	m.mu.Unlock()
 	if mismatched {
-		list = []vmlist.Peer{from} // the coordinator does not have them either
+		list = []updateSource{{from, queryTimeout}} // the coordinator does not have them either
 	}
+	silent := make(map[string]bool)
 	for i, p := range list {
-		if i > 0 {
+		if i > 0 && !silent[p.Name] {
 			time.Sleep(coordinatorRetryPause)
 		}
 		since, _ := m.vm.targets.State()
 		if mismatched {
 			since = 0
 		}
-		r, err := m.vm.streams.query(p, streamRequest{Targets: true, SinceRevision: since})
-		if err == nil && len(r.Targets) == 0 {
+		r, err := m.queryUpdate(p, streamRequest{Targets: true, SinceRevision: since}, silent)
+		if errors.Is(err, errSilent) || err == nil && len(r.Targets) == 0 {
 			continue // the peer has no targets yet
 		}
 		var d roster.Delta
@@ -237,7 +264,7 @@
 // fetchRecord fetches a record from a VM that has a newer one.
 func (m *messenger) fetchRecord(from vmlist.Peer) {
 	defer m.finishTask(&m.fetchingRecord)
-	r, err := m.vm.streams.query(from, streamRequest{Record: true})
+	r, err := m.vm.streams.query(from, streamRequest{Record: true}, queryTimeout)
 	if err != nil || r.Record == nil {
 		m.vm.Log.Warn().Err(err).Str("peer", from.Name).Msg("record not fetched from another VM")
 		return
--- a/fleet/export_test.go
+++ b/fleet/export_test.go
@@ -4,6 +4,8 @@
 	"io"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/pollendoor/pollendoor"
 	"github.com/pollendoor/pollendoor/clock"
 	"github.com/pollendoor/pollendoor/lease"
@@ -77,3 +79,14 @@
 	}
 	return m.silence(now)
 }
+
+// FetchConfig lets a VM of its own fetch version 1 of the configuration, whose coordinator
+// is the VM at one IP and which was announced by the VM at another one.
+func FetchConfig(port int, coordinator, announcer string) {
+	v := &VM{Settings: Settings{VM: "own", PeerPort: port}, Log: zerolog.Nop()}
+	v.Platform.DecodeConfig = func([]byte) (*pollendoor.Config, error) { return nil, io.ErrUnexpectedEOF }
+	v.streams.vm, v.messenger.vm = v, v
+	v.view.Store(&vmlist.View{})
+	v.coordinators.Store(&[]vmlist.Peer{{Name: "coordinator", IP: coordinator}})
+	v.messenger.fetchConfig(vmlist.Peer{Name: "announcer", IP: announcer}, 1)
+}
--- a/fleet/streams.go
+++ b/fleet/streams.go
@@ -341,13 +341,14 @@
 	s.remoteSessions.Add(-1)
 }
 
-// query sends a request other than work to another VM.
-func (s *streams) query(p vmlist.Peer, c streamRequest) (streamResponse, error) {
+// query sends a request other than work to another VM, and waits for the answer until the
+// timeout.
+func (s *streams) query(p vmlist.Peer, c streamRequest, timeout time.Duration) (streamResponse, error) {
 	st, err := s.acquire(p)
 	if err != nil {
 		return streamResponse{}, err
 	}
-	st.conn.SetDeadline(time.Now().Add(queryTimeout))
+	st.conn.SetDeadline(time.Now().Add(timeout))
 	var r streamResponse
 	if err = st.send(trafficQuery, c); err == nil {
 		err = st.dec.Decode(&r)
