lease, fleet: the record names the replicas that may hold commits

Cause, one for all three: which replicas a promotion waits for came from the entries that the leader had seen since the replacement began, and a replica counted as answered by its id. So one whose entry had lapsed, one that only a former leader had seen, and one that had started again without its log were not waited for.

Change: the record names id, start and address of each replica's process in the present epoch and of those listed in the last 15 s, for groups with syncReplicas. A promotion waits for each process; one that started later doesn't answer for it, nor does an empty one.

--- a/fleet/failover.go
+++ b/fleet/failover.go
@@ -246,7 +246,11 @@
 			}
 			g = g.Order(c.Target.ID)
 		}
-		if err := ld.updateGroup(ctx, name, g, g.Settle(c.Target.ID, term)); err != nil {
+		settled := g.Settle(c.Target.ID, term)
+		if v.syncReplicas(name) > 0 {
+			settled = settled.WithHolders(lease.HoldersAfter(c.Target.ID, v.targets.Group(name)))
+		}
+		if err := ld.updateGroup(ctx, name, g, settled); err != nil {
 			v.Log.Warn().Err(err).Str("group", name).Msg("successor not recorded")
 			return
 		}
@@ -291,10 +295,7 @@
 // one that shall become the primary.
 func (ld *leader) chooseSuccessor(ctx context.Context, name string, g lease.Group, s *lease.Succession) lease.Choice {
 	v := ld.vm
-	syncReplicas := 0
-	if c := v.Config(); c != nil {
-		syncReplicas = c.Groups[name].SyncReplicas
-	}
+	syncReplicas := v.syncReplicas(name)
 	targets := v.targets.Group(name)
 	if evacuations := v.evacuations.Load(); evacuations != nil {
 		s.Evacuated = evacuations.Evacuated
@@ -313,6 +314,33 @@
 	return s.Next(g, syncReplicas, targets, v.targetStatuses(ctx, targets), clock.Now())
 }
 
+// syncReplicas returns the number of replicas that have received a commit of a group when it
+// is acknowledged.
+func (v *VM) syncReplicas(group string) int {
+	if c := v.Config(); c != nil {
+		return c.Groups[group].SyncReplicas
+	}
+	return 0
+}
+
+// wantedHolders returns the holders that the record should name for a group that is not
+// moving. The caller holds mu.
+func (ld *leader) wantedHolders(name string, g lease.Group, now time.Duration) lease.Holders {
+	if ld.vm.syncReplicas(name) == 0 {
+		return ""
+	}
+	return ld.holders.Next(name, g, ld.vm.targets.Group(name), now)
+}
+
+// recordHolders records which replicas of a group may hold acknowledged commits.
+func (ld *leader) recordHolders(ctx context.Context, name string, g lease.Group, holders lease.Holders) {
+	if err := ld.updateGroup(ctx, name, g, g.WithHolders(holders)); err != nil {
+		ld.vm.Log.Warn().Err(err).Str("group", name).Msg("holders of commits not recorded")
+		return
+	}
+	ld.vm.Log.Info().Str("group", name).Str("holders", string(holders)).Msg("holders of commits recorded")
+}
+
 // callTime bounds the time from the confirmation of a leadership to the end of a promotion
 // call that is based on it.
 func (ld *leader) callTime() time.Duration { return ld.vm.Platform.PromoteTime + maxOrderDelay }
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -89,6 +89,8 @@
 	tenure         *tenure       // that of the last claim, nil before it
 	handingOver    bool          // a successor is being recorded; this VM does not lead any more
 
+	holders lease.HolderWatch
+
 	returned map[string]time.Duration // zones whose evacuation has ended, until their targets were asked to step down
 
 	writeMu    sync.Mutex                     // serializes writes of the record
@@ -470,6 +472,10 @@
 			ld.startTask(name, func(ctx context.Context) { ld.failOver(ctx, name, "taken over from an earlier holder") })
 			continue
 		}
+		if holders := ld.wantedHolders(name, g, now); holders != g.Holders {
+			ld.startTask(name, func(ctx context.Context) { ld.recordHolders(ctx, name, g, holders) })
+			continue
+		}
 		if cause := ld.state.Suspect(name, ld.vm.targetEntry(g.Primary), now); cause != lease.CauseNone {
 			ld.startTask(name, func(ctx context.Context) { ld.replacePrimary(ctx, name, g, cause) })
 		}
--- /dev/null
+++ b/lease/holders.go
@@ -0,0 +1,103 @@
+package lease
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pollendoor/pollendoor"
+)
+
+// Holder is a process of a replica that may hold acknowledged commits.
+type Holder struct {
+	ID   string
+	Born int64  // start of the process in Unix milliseconds, zero if it is not known
+	Addr string // IP and port
+}
+
+// holderOf returns the holder that a target's entry describes.
+func holderOf(t pollendoor.TargetInfo) Holder { return Holder{t.ID, t.Born, t.Addr} }
+
+// isProcess reports whether the entry of a target is that of the holder's process, as far as
+// that is known.
+func (h Holder) isProcess(t pollendoor.TargetInfo) bool {
+	return t.ID == h.ID && (t.Born == h.Born || t.Born == 0 || h.Born == 0)
+}
+
+// Holders are the replicas of a group that may hold acknowledged commits of the present
+// epoch, if commits are acknowledged once replicas have received them. They are kept as text,
+// ID@BORN@ADDR separated by blanks and in order, so that a Group stays comparable.
+type Holders string
+
+// NewHolders returns the text of a list of holders.
+func NewHolders(list []Holder) Holders {
+	words := make([]string, 0, len(list))
+	for _, h := range list {
+		words = append(words, h.ID+"@"+strconv.FormatInt(h.Born, 10)+"@"+h.Addr)
+	}
+	slices.Sort(words)
+	return Holders(strings.Join(slices.Compact(words), " "))
+}
+
+// List returns the holders. Words that are not understood are left out.
+func (s Holders) List() []Holder {
+	var list []Holder
+	for word := range strings.FieldsSeq(string(s)) {
+		id, rest, _ := strings.Cut(word, "@")
+		born, addr, ok := strings.Cut(rest, "@")
+		n, err := strconv.ParseInt(born, 10, 64)
+		if ok && err == nil {
+			list = append(list, Holder{id, n, addr})
+		}
+	}
+	return list
+}
+
+// HolderWatch decides which replicas of a group the record names as holders. The zero value
+// is ready for use.
+type HolderWatch struct {
+	lastListed map[string]map[Holder]time.Duration // by group, when a holder was last listed
+}
+
+// Next returns the holders that a group should have: those that are listed, and those that
+// were listed within lostTargetTimeout. Only the leader's own time counts, so that a new
+// leader keeps each holder at least as long.
+func (w *HolderWatch) Next(group string, g Group, listed []pollendoor.TargetInfo, now time.Duration) Holders {
+	if w.lastListed == nil {
+		w.lastListed = make(map[string]map[Holder]time.Duration)
+	}
+	seen := w.lastListed[group]
+	if seen == nil {
+		seen = make(map[Holder]time.Duration)
+		w.lastListed[group] = seen
+	}
+	for _, h := range g.Holders.List() {
+		if _, ok := seen[h]; !ok {
+			seen[h] = now
+		}
+	}
+	for _, t := range listed {
+		seen[holderOf(t)] = now
+	}
+	var list []Holder
+	for h, at := range seen {
+		if now-at >= lostTargetTimeout {
+			delete(seen, h)
+		} else if h.ID != g.Primary {
+			list = append(list, h)
+		}
+	}
+	return NewHolders(list)
+}
+
+// HoldersAfter returns the holders of a group whose primary has just become another target.
+func HoldersAfter(primary string, listed []pollendoor.TargetInfo) Holders {
+	var list []Holder
+	for _, t := range listed {
+		if t.ID != primary {
+			list = append(list, holderOf(t))
+		}
+	}
+	return NewHolders(list)
+}
--- a/lease/record.go
+++ b/lease/record.go
@@ -83,6 +83,9 @@
 	// the old primary is not used again, whichever VM leads, because the order
 	// may take effect at any later time.
 	Ordered string `json:"ordered,omitempty" cbor:"6,keyasint,omitempty"`
+	// Holders is kept only for groups whose commits are acknowledged once replicas have
+	// received them.
+	Holders Holders `json:"holders,omitempty" cbor:"7,keyasint,omitempty"`
 }
 
 // Record is the state that the fleet agrees on. Every write increments Version.
@@ -188,6 +191,12 @@
 	return g
 }
 
+// WithHolders returns the state of a group with other holders.
+func (g Group) WithHolders(h Holders) Group {
+	g.Holders = h
+	return g
+}
+
 // Settle returns the state of a group whose primary is now another target, in
 // term t.
 func (g Group) Settle(target string, t pollendoor.Term) Group {
--- a/lease/succession.go
+++ b/lease/succession.go
@@ -71,7 +71,7 @@
 	OrdersEnded bool
 
 	started time.Duration            // time of the first call of Next
-	listed  map[string]time.Duration // by target ID, when the target was last listed
+	listed  map[Holder]time.Duration // when a target was last listed
 	// whole is the position of the old primary's log after its release, zero if that is
 	// not known. No later entry belongs to an acknowledged commit.
 	whole pollendoor.Position
@@ -83,7 +83,7 @@
 // is acknowledged, targets are the group's listed targets, and answers the status of
 // those that have answered since the old primary was released.
 func (s *Succession) Next(g Group, syncReplicas int, targets []pollendoor.TargetInfo, answers []Candidate, now time.Duration) Choice {
-	s.noteListed(targets, now)
+	s.noteListed(g, targets, now)
 	// Whole has every commit that was acknowledged. Leading may be used as it is.
 	var whole, leading *Candidate
 	var replicas, staying []Candidate
@@ -193,23 +193,36 @@
 	return Choice{Next: next, Promote: true}
 }
 
-// noteListed records which targets the platform's store lists.
-func (s *Succession) noteListed(targets []pollendoor.TargetInfo, now time.Duration) {
+// noteListed records which targets the platform's store lists, and which of the record's
+// holders it does not.
+func (s *Succession) noteListed(g Group, targets []pollendoor.TargetInfo, now time.Duration) {
 	if s.listed == nil {
-		s.started, s.listed = now, make(map[string]time.Duration)
+		s.started, s.listed = now, make(map[Holder]time.Duration)
+	}
+	for _, h := range g.Holders.List() {
+		if _, ok := s.listed[h]; !ok {
+			s.listed[h] = now
+		}
 	}
 	for _, t := range targets {
-		s.listed[t.ID] = now
+		s.listed[holderOf(t)] = now
 	}
 }
 
-// unanswered returns the number of replicas of the old primary that have not answered
-// and are not given up.
+// unanswered returns the number of replicas of the old primary that may hold acknowledged
+// commits, have not answered and are not given up. The answer of a process that started later
+// under the same ID says nothing of the one before. One at the same address under another ID
+// has received the log of a target that was drained.
 func (s *Succession) unanswered(g Group, answers []Candidate, now time.Duration) int {
 	n := 0
-	for id, listedAt := range s.listed {
-		answered := slices.ContainsFunc(answers, func(c Candidate) bool { return c.Target.ID == id })
-		if id != g.Primary && !answered && now-listedAt < lostTargetTimeout {
+	for h, listedAt := range s.listed {
+		answered := slices.ContainsFunc(answers, func(c Candidate) bool {
+			if c.position().IsZero() && !s.Known.IsZero() {
+				return false
+			}
+			return h.isProcess(c.Target) || c.Target.ID != h.ID && c.Target.Addr == h.Addr && h.Addr != ""
+		})
+		if h.ID != g.Primary && !answered && now-listedAt < lostTargetTimeout {
 			n++
 		}
 	}
--- a/lease/succession_test.go
+++ b/lease/succession_test.go
@@ -304,3 +304,75 @@
 		}
 	})
 }
+
+// Guards against the loss of acknowledged commits with syncReplicas: a promotion passed over
+// a replica whose entry had left the store, one that only the former leader had seen, and one
+// that had started again without its log.
+func TestSuccessionWaitsForRecordedHolders(t *testing.T) {
+	target := func(id string, born int64, addr string) pollendoor.TargetInfo {
+		return pollendoor.TargetInfo{ID: id, Born: born, Addr: addr}
+	}
+	answer := func(info pollendoor.TargetInfo, index uint64) lease.Candidate {
+		c := replicaAt(info.ID, index)
+		c.Target = info
+		return c
+	}
+	old, a, b := target("old", 1, "h:1"), target("a", 1, "h:2"), target("b", 1, "h:3")
+	reborn, heir := target("a", 2, "h:2"), target("c", 3, "h:2")
+	g := lease.Group{Epoch: 1, Primary: "old", Term: 1}.WithHolders(lease.HoldersAfter("old", []pollendoor.TargetInfo{old, a, b})).Move(false)
+	for _, tc := range []struct {
+		name    string
+		listed  []pollendoor.TargetInfo
+		answers []lease.Candidate
+		after   time.Duration
+		want    string
+		wait    lease.Wait
+	}{
+		{"all answer", []pollendoor.TargetInfo{old, a, b}, []lease.Candidate{answer(a, 9), answer(b, 5)}, 0, "a", lease.WaitNone},
+		{"the entry of one has left the store", []pollendoor.TargetInfo{old, b}, []lease.Candidate{answer(b, 5)}, 0, "", lease.WaitAnswers},
+		{"it does not come back", []pollendoor.TargetInfo{old, b}, []lease.Candidate{answer(b, 5)}, 15 * time.Second, "b", lease.WaitNone},
+		{"one has started again", []pollendoor.TargetInfo{old, reborn, b}, []lease.Candidate{answer(reborn, 2), answer(b, 5)}, 0, "", lease.WaitAnswers},
+		{"one has started again, its entry is not known yet", []pollendoor.TargetInfo{old, a, b}, []lease.Candidate{answer(a, 0), answer(b, 5)}, 0, "", lease.WaitAnswers},
+		{"one was drained, and another has its log", []pollendoor.TargetInfo{old, heir, b}, []lease.Candidate{answer(heir, 9), answer(b, 5)}, 0, "c", lease.WaitNone},
+	} {
+		s := lease.Succession{Known: pollendoor.Position{Term: 1, Index: 9}}
+		got := s.Next(g, 1, tc.listed, tc.answers, time.Minute)
+		if tc.after > 0 {
+			got = s.Next(g, 1, tc.listed, tc.answers, time.Minute+tc.after)
+		}
+		if got.Next.Target.ID != tc.want || got.Wait != tc.wait {
+			t.Errorf("%s: got %q %q, want %q %q", tc.name, got.Next.Target.ID, got.Wait, tc.want, tc.wait)
+		}
+	}
+}
+
+func TestHolderWatch(t *testing.T) {
+	a, b := pollendoor.TargetInfo{ID: "a", Born: 1, Addr: "h:1"}, pollendoor.TargetInfo{ID: "b", Born: 1, Addr: "h:2"}
+	reborn := pollendoor.TargetInfo{ID: "a", Born: 2, Addr: "h:1"}
+	primary := pollendoor.TargetInfo{ID: "p", Born: 1, Addr: "h:3"}
+	var w lease.HolderWatch
+	g := lease.Group{Primary: "p"}
+	for _, tc := range []struct {
+		name   string
+		at     time.Duration
+		listed []pollendoor.TargetInfo
+		want   lease.Holders
+	}{
+		{"replicas are listed", time.Second, []pollendoor.TargetInfo{primary, a, b}, "a@1@h:1 b@1@h:2"},
+		{"one leaves", 2 * time.Second, []pollendoor.TargetInfo{primary, b}, "a@1@h:1 b@1@h:2"},
+		{"it starts again", 3 * time.Second, []pollendoor.TargetInfo{primary, reborn, b}, "a@1@h:1 a@2@h:1 b@1@h:2"},
+		{"its former process is given up", 16 * time.Second, []pollendoor.TargetInfo{primary, reborn, b}, "a@2@h:1 b@1@h:2"},
+	} {
+		if got := w.Next("g", g, tc.listed, tc.at); got != tc.want {
+			t.Errorf("%s: got %q, want %q", tc.name, got, tc.want)
+		}
+	}
+	var next lease.HolderWatch // of the next leader, which has never seen a
+	g = g.WithHolders("a@1@h:1 b@1@h:2")
+	if got, want := next.Next("g", g, []pollendoor.TargetInfo{primary, b}, time.Hour), g.Holders; got != want {
+		t.Errorf("another leader: got %q, want %q", got, want)
+	}
+	if got := lease.Holders("a@x@h a b@2@h:1").List(); len(got) != 1 || got[0] != (lease.Holder{ID: "b", Born: 2, Addr: "h:1"}) {
+		t.Errorf("malformed words: got %+v, want the last one only", got)
+	}
+}
--- a/spec/sync.pml
+++ b/spec/sync.pml
@@ -15,6 +15,9 @@
  *              log as proof of what was acknowledged.
  *   CATCHUP    promotes in a planned change although the replica lacks commits of
  *              the old primary.
+ *   LISTED     waits only for replicas that the store lists now.
+ *   FORGETS    a new leader waits only for replicas that it has seen listed.
+ *   REBORN     counts a replica as answered that has started again without its log.
  */
 #define N 3 /* targets */
 #ifndef MAXI
@@ -31,6 +34,8 @@
 bool drains[N];
 bool deaf[N];      /* the target receives nothing */
 bool emptied[N];   /* the target leads a term but has restarted without its log */
+bool reborn[N];    /* the replica has started again without its log in this term */
+bool lostReplica = false; /* a replica has lost its log */
 bool lost = false; /* a log was lost: another failure could take the last copy of a commit */
 byte acked[MAXI + 1]; /* term of the entry acknowledged at an index */
 
@@ -45,6 +50,28 @@
 byte t, i, best, missing;
 bool proof;
 
+/* Whether the leader waits for a replica that has not answered. Which entries the store
+ * has makes no difference but for the mutants. */
+#if defined(LISTED) || defined(FORGETS)
+#define ENTRIES
+bool listed[N]; /* the store lists the target */
+bool known[N];  /* the leader that asks has seen the target listed */
+#endif
+#ifdef LISTED
+#define AWAITED(t) listed[t]
+#else
+#ifdef FORGETS
+#define AWAITED(t) known[t]
+#else
+#define AWAITED(t) true /* the record names all replicas of the term */
+#endif
+#endif
+#ifdef REBORN
+#define HASANSWERED(t) answered[t]
+#else
+#define HASANSWERED(t) (answered[t] && !reborn[t])
+#endif
+
 inline reset() {
 	t = 0;
 	do
@@ -86,7 +113,12 @@
 		t = 0;
 		do
 		:: t == N -> break
-		:: else -> fol[t] = 1; t++
+		:: else ->
+			fol[t] = 1;
+#ifdef ENTRIES
+			listed[t] = true; known[t] = true;
+#endif
+			t++
 		od;
 		t = 0
 	}
@@ -141,9 +173,27 @@
 	/* Targets stop and start to receive and to drain. */
 	:: atomic { select(t : 0 .. 2); deaf[t] = !deaf[t]; t = 0 }
 	:: atomic { select(t : 0 .. 2); drains[t] = !drains[t]; t = 0 }
+#ifdef ENTRIES
+	/* The entry of a replica lapses or returns. */
+	:: atomic { select(t : 0 .. 2); listed[t] = !listed[t]; known[t] = known[t] || listed[t]; t = 0 }
+#endif
+	/* A replica starts again without its log. */
+	:: atomic {
+		select(t : 0 .. 2);
+		if
+		:: t != prim && !lost && !lostReplica ->
+			lostReplica = true; reborn[t] = true; fol[t] = 0; answered[t] = false;
+			do
+			:: size[t] > 0 -> L(t, size[t]) = 0; size[t]--
+			:: else -> break
+			od
+		:: else -> skip
+		fi;
+		t = 0
+	}
 	/* The old primary restarts without its log. */
 	:: atomic {
-		asking && !lost ->
+		asking && !lost && !lostReplica ->
 		lost = true; emptied[prim] = true;
 		do
 		:: size[prim] > 0 -> L(prim, size[prim]) = 0; size[prim]--
@@ -162,7 +212,16 @@
 	:: atomic { asking && !released -> released = true }
 #endif
 	/* The leader is replaced, and the next one asks again. */
-	:: atomic { asking -> reset() }
+	:: atomic {
+		asking -> reset();
+#ifdef ENTRIES
+		do
+		:: t == N -> break
+		:: else -> known[t] = listed[t]; t++
+		od;
+		t = 0
+#endif
+	}
 	/* A target answers; others stay busy or out of reach. */
 	:: atomic {
 		asking ->
@@ -179,7 +238,7 @@
 		:: t == N -> break
 		:: else ->
 			if
-			:: t != prim && !answered[t] -> missing++
+			:: t != prim && AWAITED(t) && !HASANSWERED(t) -> missing++
 			:: else -> skip
 			fi;
 			t++
@@ -208,6 +267,12 @@
 			:: else -> assert(acked[i] == 0 || (i <= size[best] && L(best, i) == acked[i])); i++
 			od;
 			i = 0;
+			t = 0;
+			do
+			:: t == N -> break
+			:: else -> reborn[t] = false; t++
+			od;
+			t = 0;
 			emptied[prim] = false; prim = best; term++; fol[prim] = term;
 			released = false; asking = false; reset()
 		:: else -> skip
