fleet, lease, roster: a draining primary is used until drainMs at most

Cause: a planned change waited without an end for a replica with the whole log, and no part of the program knew when the time of a draining database ends.

Change: drainMs is a setting. A VM sends no new work to a primary from 500 ms before the end on. The planned change begins 2.5 s before it at the latest, isn't given up then, and promotes the newest replica after 4 s.

--- a/fleet/cluster.go
+++ b/fleet/cluster.go
@@ -73,6 +73,8 @@
 			return primary, pollendoor.PrimaryEvacuated
 		}
 		return primary, pollendoor.PrimaryUnavailable // this VM does not know yet what is evacuated
+	case t.Draining && v.drainLeft(t.ID) <= drainMargin:
+		return primary, pollendoor.PrimaryUnavailable
 	case !known || !l.Holds(group, g.Epoch, now):
 		return primary, pollendoor.PrimaryUnavailable
 	}
--- a/fleet/failover.go
+++ b/fleet/failover.go
@@ -166,9 +166,12 @@
 	ld.failOver(ctx, name, string(cause))
 }
 
-// mustMove reports whether the use of a primary is about to end because its zone is being
-// evacuated, so that its replacement can't be put off any longer.
+// mustMove reports whether the use of a primary is about to end, because its zone is being
+// evacuated or it leaves, so that its replacement can't be put off any longer.
 func (ld *leader) mustMove(primary string) bool {
+	if ld.vm.drainEnds(primary) {
+		return true
+	}
 	t, ok := ld.vm.targets.Get(primary)
 	return ok && ld.vm.evacuations.Load().MustMove(t.Zone, clock.Now())
 }
@@ -305,6 +308,7 @@
 		old, ok := v.targets.Get(g.Primary)
 		s.MayAsk = ok && v.useOf(old, clock.Now()) == evac.UseAll
 	}
+	s.Ending = v.drainEnds(g.Primary)
 	if newest, ok := v.positionRing(name).Newest(); ok {
 		s.Known = newest.Position
 	}
--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -38,6 +38,9 @@
 	// Zones maps each availability zone to its region.
 	Zones map[string]string `yaml:"zones"`
 
+	// DrainMs is the time in milliseconds after which a target that is about to leave may get
+	// no more work. It is not limited if it is zero.
+	DrainMs      float64 `yaml:"drainMs"`
 	GraceS       float64 `yaml:"graceS"`       // duration of a planned stop in seconds
 	QuotaWindowS float64 `yaml:"quotaWindowS"` // window in which a team's limit is counted, in seconds
 	QuotaExcess  float64 `yaml:"quotaExcess"`  // tolerated excess as a fraction of a team's allowance in the window
@@ -104,7 +107,7 @@
 		name  string
 		value float64
 	}{
-		{"evacuateMs", s.EvacuateMs}, {"coldExcess", s.ColdExcess}, {"coldMargin", s.ColdMargin},
+		{"drainMs", s.DrainMs}, {"evacuateMs", s.EvacuateMs}, {"coldExcess", s.ColdExcess}, {"coldMargin", s.ColdMargin},
 	} {
 		if !(f.value >= 0) {
 			return errors.Newf("%s: got %g, want 0 or more", f.name, f.value)
--- a/fleet/vm.go
+++ b/fleet/vm.go
@@ -122,6 +122,7 @@
 	v.lease.Store(&lease.Lease{})
 	v.view.Store(&vmlist.View{Peers: []vmlist.Peer{v.selfPeer()}})
 	v.coordinators.Store(&[]vmlist.Peer{})
+	v.targets.AssumedDrain = v.assumedDrain()
 	v.homeVMs.vm = v
 	v.streams.vm = v
 	v.leader.vm = v
--- a/lease/succession.go
+++ b/lease/succession.go
@@ -11,6 +11,9 @@
 	// catchUpTimeout is how long a planned change waits until a replica has received
 	// the whole log.
 	catchUpTimeout = 2 * time.Second
+	// endingCatchUpTimeout replaces catchUpTimeout if the old primary can't be used again.
+	// Commits that no replica has received by then are lost with it.
+	endingCatchUpTimeout = 4 * time.Second
 	// primaryAnswerTimeout is how long a planned change waits for the answer of the
 	// old primary.
 	primaryAnswerTimeout = 700 * time.Millisecond
@@ -64,6 +67,8 @@
 	// primary could not be asked because of the evacuation of its zone.
 	Reached pollendoor.Position
 	MayAsk  bool // the old primary may be asked for its position
+	// Ending is set if the old primary is about to leave and may not be used again.
+	Ending bool
 	// Known is a position that the group's log has reached, zero if none is known.
 	Known pollendoor.Position
 	// OrdersEnded is set if no promotion that an earlier leader has ordered could take effect
@@ -125,9 +130,9 @@
 		return Choice{Next: c, Promote: true}
 	}
 	switch {
-	case leading != nil && now < s.started+catchUpTimeout:
+	case leading != nil && (now < s.started+catchUpTimeout || s.Ending && now < s.started+endingCatchUpTimeout):
 		return Choice{Wait: WaitCatchUp}
-	case leading != nil:
+	case leading != nil && !s.Ending:
 		return Choice{Next: *leading} // the planned change is given up
 	case g.Planned && whole == nil && now < s.started+primaryAnswerTimeout:
 		return Choice{Wait: WaitPrimary}
--- a/lease/succession_test.go
+++ b/lease/succession_test.go
@@ -111,6 +111,39 @@
 	}
 }
 
+// Guards against the use of a draining primary after its time: the planned change was given
+// up each time no replica had the whole log.
+func TestChangeOfAnEndingPrimaryIsNotGivenUp(t *testing.T) {
+	old := lease.Candidate{
+		Target: pollendoor.TargetInfo{ID: "old", Draining: true},
+		Status: pollendoor.TargetStatus{Role: pollendoor.Primary, Term: 1, LastTerm: 1, Index: 9},
+	}
+	g := lease.Group{Epoch: 1, Primary: "old", Term: 1}.Move(true)
+	for _, tc := range []struct {
+		ending bool
+		after  time.Duration
+		want   string
+		wait   lease.Wait
+	}{
+		{false, time.Second, "", lease.WaitCatchUp},
+		{false, 3 * time.Second, "old", lease.WaitNone},
+		{true, 3 * time.Second, "", lease.WaitCatchUp},
+		{true, 5 * time.Second, "a", lease.WaitNone},
+	} {
+		s := lease.Succession{Ending: tc.ending}
+		list := []lease.Candidate{old, replicaAt("a", 8)}
+		s.Next(g, 0, nil, list, time.Minute)
+		got := s.Next(g, 0, nil, list, time.Minute+tc.after)
+		if got.Next.Target.ID != tc.want || got.Wait != tc.wait {
+			t.Errorf("ending %v, after %v: got %q %q, want %q %q", tc.ending, tc.after, got.Next.Target.ID, got.Wait, tc.want, tc.wait)
+		}
+	}
+	s := lease.Succession{Ending: true}
+	if got := s.Next(g, 0, nil, []lease.Candidate{old, replicaAt("a", 9)}, time.Minute); got.Next.Target.ID != "a" {
+		t.Errorf("a replica with the whole log: got %+v, want it promoted", got)
+	}
+}
+
 // Guards against the promotion of a target that has started again without its log, as the
 // first one to answer.
 func TestTargetWithoutALogIsNotPromoted(t *testing.T) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -21,15 +21,27 @@
 // stays known until Expire removes it. A Roster is safe for concurrent use: readers
 // see an immutable snapshot. The zero value is empty and ready for use.
 type Roster struct {
+	// AssumedDrain is how long the targets that are about to leave in the first list are
+	// taken to have been so.
+	AssumedDrain time.Duration
+
 	current atomic.Pointer[snapshot]
 
 	mu           sync.Mutex
 	firstListed  time.Time            // when the entries were first listed
 	missingSince map[string]time.Time // by target ID, when its entry was removed from the store
+	drainSince   map[string]drain     // by target ID, since when its entry has said that it is about to leave
 	changedAt    map[string]uint64    // by target ID, removed targets included, the revision up to which the entry was last seen to change
 	changesSince uint64               // changedAt has all changes since this revision
 }
 
+// drain is since when a process of a target has been about to leave. An older copy of the
+// store may say otherwise for a while.
+type drain struct {
+	born  int64
+	since time.Time
+}
+
 // maxRemoved is the number of removed entries that are remembered for other VMs.
 const maxRemoved = 1024
 
@@ -97,6 +109,18 @@
 	return t, max(1, now.Sub(since))
 }
 
+// Draining returns how long a target has been about to leave, as far as this VM knows, or
+// zero if it is not.
+func (r *Roster) Draining(id string, now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d, ok := r.drainSince[id]
+	if !ok || !r.load().byID[id].Draining {
+		return 0
+	}
+	return max(1, now.Sub(d.since))
+}
+
 // Listed returns the targets whose entries are in the store, and the store's
 // revision.
 func (r *Roster) Listed() ([]pollendoor.TargetInfo, uint64) {
@@ -212,13 +236,19 @@
 		revision: revision,
 	}
 	maps.Copy(next.byID, old.byID)
-	if r.firstListed.IsZero() {
+	first := r.firstListed.IsZero()
+	if first {
 		r.firstListed, r.changesSince = now, revision
 	}
 	if r.missingSince == nil {
 		r.missingSince, r.changedAt = make(map[string]time.Time), make(map[string]uint64)
 	}
 	change(next)
+	if first {
+		r.noteDraining(next, now.Add(-r.AssumedDrain))
+	} else {
+		r.noteDraining(next, now)
+	}
 	if len(r.changedAt) > len(next.byID)+maxRemoved {
 		clear(r.changedAt)
 		r.changesSince = revision
@@ -234,6 +264,24 @@
 	return true
 }
 
+// noteDraining records that those targets of a snapshot that are about to leave have been so
+// since at, unless it is known already. The caller holds mu.
+func (r *Roster) noteDraining(s *snapshot, at time.Time) {
+	for id := range r.drainSince {
+		if t, ok := s.byID[id]; !ok || t.Born != r.drainSince[id].born {
+			delete(r.drainSince, id)
+		}
+	}
+	for id, t := range s.byID {
+		if _, ok := r.drainSince[id]; !ok && t.Draining {
+			if r.drainSince == nil {
+				r.drainSince = make(map[string]drain)
+			}
+			r.drainSince[id] = drain{t.Born, at}
+		}
+	}
+}
+
 // set adds or changes an entry that the store lists. The caller holds mu.
 func (r *Roster) set(s *snapshot, t pollendoor.TargetInfo) []Change {
 	before := s.byID[t.ID]
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -173,3 +173,32 @@
 		t.Error("cold target: got the digest of a warm one, want another one")
 	}
 }
+
+func TestDraining(t *testing.T) {
+	start := time.Unix(1000, 0)
+	r := roster.Roster{AssumedDrain: 4 * time.Second}
+	list := func(at time.Duration, draining ...string) {
+		t.Helper()
+		var targets []pollendoor.TargetInfo
+		for _, id := range []string{"a", "b"} {
+			targets = append(targets, pollendoor.TargetInfo{ID: id, Draining: slices.Contains(draining, id)})
+		}
+		if _, ok := r.ApplyList(targets, uint64(at/time.Second)+1, start.Add(at)); !ok {
+			t.Fatal("got a list that was ignored")
+		}
+	}
+	check := func(at time.Duration, id string, want time.Duration) {
+		t.Helper()
+		if got := r.Draining(id, start.Add(at)); got != want {
+			t.Errorf("%s at %v: got %v, want %v", id, at, got, want)
+		}
+	}
+	list(0, "a")
+	check(time.Second, "a", 5*time.Second) // it may have begun before the first list
+	check(time.Second, "b", 0)
+	list(2*time.Second, "a", "b")
+	list(3*time.Second, "a", "b")
+	check(5*time.Second, "b", 3*time.Second)
+	list(6*time.Second, "a")
+	check(7*time.Second, "b", 0)
+}
