caller, platform: what sessions keep is bounded

Change: all sessions may keep an eighth of memoryMB, and one an eighth of that; more is refused with BUSY and a text that names the limit.

--- a/caller/session.go
+++ b/caller/session.go
@@ -23,14 +23,17 @@
 const none = "-"
 
 // Sessions opens sessions on a cluster. It implements pollendoor.Sessions.
-type Sessions struct{ Cluster pollendoor.Cluster }
+type Sessions struct {
+	Cluster pollendoor.Cluster
+	Memory  *Memory // nil for no limits
+}
 
 var _ pollendoor.Sessions = Sessions{}
 
 // Open opens a session for a database and an access key. A non-empty code is the
 // reason for a refusal.
 func (s Sessions) Open(database, key string) (pollendoor.Session, pollendoor.ErrorCode) {
-	n := &Session{cluster: s.Cluster, database: database, key: key}
+	n := &Session{cluster: s.Cluster, memory: s.Memory, database: database, key: key}
 	for begin := clock.Now(); s.Cluster.Config() == nil && clock.Now()-begin < configWait; {
 		time.Sleep(pollInterval)
 	}
@@ -49,6 +52,8 @@
 // Session is one caller's session. It implements pollendoor.Session.
 type Session struct {
 	cluster  pollendoor.Cluster
+	memory   *Memory // nil for no limits
+	kept     int64   // bytes of memory that values and prepared take
 	database string
 	key      string
 	values   []pollendoor.Setting // session values, sorted by name
@@ -128,6 +133,7 @@
 // Close ends the session and rolls an open transaction back.
 func (s *Session) Close() {
 	s.release()
+	s.releaseMemory()
 	s.open.Store(false)
 }
 
@@ -174,18 +180,15 @@
 	case pollendoor.VerbNone:
 		return s.refuse(pollendoor.ErrMalformed, "statement is malformed")
 	case pollendoor.VerbSet:
-		s.set(pollendoor.Setting{Name: q.Name, Value: q.Value})
-		return s.success()
+		return s.set(q)
 	case pollendoor.VerbPrepare:
-		if s.prepared == nil {
-			s.prepared = make(map[string]pollendoor.Shape)
-		}
-		s.prepared[q.Name] = q.Shape
-		return s.success()
+		return s.prepare(q)
 	case pollendoor.VerbDealloc:
-		if _, ok := s.prepared[q.Name]; !ok {
+		old, ok := s.prepared[q.Name]
+		if !ok {
 			return s.refuse(pollendoor.ErrNoStmt, "prepared statement does not exist")
 		}
+		s.resize(q, entrySize(q.Name, old.Text, true), 0)
 		delete(s.prepared, q.Name)
 		return s.success()
 	case pollendoor.VerbBegin, pollendoor.VerbBeginRead:
@@ -221,10 +224,31 @@
 	s.open.Store(false)
 }
 
+// prepare keeps a prepared statement.
+func (s *Session) prepare(q *pollendoor.Statement) pollendoor.Reply {
+	old, exists := s.prepared[q.Name]
+	if r, ok := s.resize(q, entrySize(q.Name, old.Text, exists), entrySize(q.Name, q.Shape.Text, true)); !ok {
+		return r
+	}
+	if s.prepared == nil {
+		s.prepared = make(map[string]pollendoor.Shape)
+	}
+	s.prepared[q.Name] = q.Shape
+	return s.success()
+}
+
 // set sets a session value. It copies the list, because work that was sent before
 // still refers to the old one.
-func (s *Session) set(v pollendoor.Setting) {
+func (s *Session) set(q *pollendoor.Statement) pollendoor.Reply {
+	v := pollendoor.Setting{Name: q.Name, Value: q.Value}
 	i, found := slices.BinarySearchFunc(s.values, v, func(a, b pollendoor.Setting) int { return cmp.Compare(a.Name, b.Name) })
+	before := int64(0)
+	if found {
+		before = entrySize(v.Name, s.values[i].Value, true)
+	}
+	if r, ok := s.resize(q, before, entrySize(v.Name, v.Value, true)); !ok {
+		return r
+	}
 	list := slices.Clone(s.values)
 	if found {
 		list[i] = v
@@ -232,6 +256,7 @@
 		list = slices.Insert(list, i, v)
 	}
 	s.values = list
+	return s.success()
 }
 
 // admit checks the key, the route and the team's rate at the start of an operation,
--- a/cmd/pollenvm/serve.go
+++ b/cmd/pollenvm/serve.go
@@ -64,8 +64,9 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	vm := &fleet.VM{Settings: settings, Log: log, Platform: platform.Connect(settings.Store, settings.Cloud, log)}
+	memory := caller.NewMemory(settings.MemoryMB << 20)
 	server := &platform.LineServer{
-		Sessions: caller.Sessions{Cluster: vm}, Log: log,
+		Sessions: caller.Sessions{Cluster: vm, Memory: memory}, Log: log,
 		TxIdle: func() time.Duration {
 			if c := vm.Config(); c != nil {
 				return c.TxIdle
@@ -86,7 +87,7 @@
 	errs := make(chan error, 3)
 	go func() { errs <- vm.Run(ctx) }()
 	go func() { errs <- platform.ServeReady(ctx, settings.Ready, vm.Ready) }()
-	go func() { errs <- serveMetrics(ctx, settings.Metrics, vm) }()
+	go func() { errs <- serveMetrics(ctx, settings.Metrics, vm, memory) }()
 	go server.Serve(l)
 	go s.reload(ctx, hangups, settings, log)
 
@@ -178,7 +179,7 @@
 }
 
 // serveMetrics serves counters and histograms as text at addr until ctx ends.
-func serveMetrics(ctx context.Context, addr string, vm *fleet.VM) error {
+func serveMetrics(ctx context.Context, addr string, vm *fleet.VM, memory *caller.Memory) error {
 	l, err := platform.Listen(ctx, addr)
 	if err != nil {
 		return errors.Wrap(err, "metrics")
@@ -187,6 +188,7 @@
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		// A scraper that disconnects early is not an error.
 		_ = vm.WriteMetrics(w)
+		_ = memory.WriteMetrics(w)
 	})
 	m := &http.Server{Handler: mux, ReadHeaderTimeout: scrapeReadTimeout}
 	stop := context.AfterFunc(ctx, func() { m.Close() })
