platform, fleet, lease: a store that comes back from an older copy

Until now lists and deltas of lower revisions were ignored until the revisions had caught up. A leader whose record was gone took the older one for the loss of its leadership, and no VM could claim on a record with an older token; tokens could be used twice.

Change: the era is part of every version, so that later eras are newer everywhere. Answers of older eras are errors. A leader writes its record again and goes on once most members have adopted it, with processes that it knew before.

Not done: soak, a measurement, fleets of hundreds, evacuations.

--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -191,8 +191,9 @@
 			p.HeldShares[i].Seq = 0
 		}
 	}
-	ld.state.ReceiveHeartbeat(lease.Heartbeat{VM: p.From.Name, Version: version, Echo: p.Echo, Promise: p.Promise, Hold: p.Hold, Bound: p.PromiseLeft, Granted: p.GrantedLeft, Power: p.CPUShare, Zone: p.From.Zone, Reports: p.Reports}, now)
+	ld.state.ReceiveHeartbeat(lease.Heartbeat{VM: p.From.Name, Process: p.ProcessID, Version: version, Echo: p.Echo, Promise: p.Promise, Hold: p.Hold, Bound: p.PromiseLeft, Granted: p.GrantedLeft, Power: p.CPUShare, Zone: p.From.Zone, Reports: p.Reports}, now)
 	listed := ld.viewHistory.View()
+	ld.noteProved()
 	peerLeft := p.From.Leaving && listed.Has(p.From.Name)
 	ld.peers[p.From.Name] = p.From
 	ld.refreshView(now, peerLeft)
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -88,6 +88,10 @@
 	membersChanged time.Duration // when the last change of the members was started
 	tenure         *tenure       // that of the last claim, nil before it
 	handingOver    bool          // a successor is being recorded; this VM does not lead any more
+	era            uint64        // era of the store in which the leadership was proved last
+	unproved       bool          // the store has come back from an older copy since
+	rewritten      uint64        // version of the record that was written in the new era, zero before it is
+	rewrittenAt    time.Duration // start of that write
 
 	holders lease.HolderWatch
 
@@ -132,7 +136,8 @@
 		return
 	}
 	v.adoptRecord(r, "claim")
-	if r.Token != expectedToken {
+	r, ok := v.baseOfClaim(objectVersion, r, expectedToken)
+	if !ok {
 		return // another VM was faster
 	}
 	next := storedRecord{Record: r.Record.Claim(v.Settings.VM, v.Settings.IP), ProcessID: v.processID, Liveness: r.Liveness + 1, SpareGranted: true}
@@ -146,6 +151,7 @@
 	own := v.messenger.bounds()
 	ld.mu.Lock()
 	ld.leading, ld.handingOver, ld.objectVersion = true, false, objectVersion
+	ld.era, ld.unproved, ld.rewritten = pollendoor.Era(objectVersion), false, 0
 	ld.state = lease.Claim(v.Settings.VM, r.Record, next.Record, own, start, now)
 	ld.livenessCounter = next.Liveness
 	ld.peers = map[string]vmlist.Peer{v.Settings.VM: v.selfPeer()}
@@ -214,6 +220,7 @@
 func (ld *leader) nextRecord(r lease.Record) storedRecord {
 	now := clock.Now()
 	r.Settled = ld.state.EarlierLeasesEnded(now)
+	r.Era = pollendoor.Era(ld.objectVersion)
 	spareGranted := now < ld.state.Claimed+spareTime+ld.vm.Settings.tolerance().Window
 	return storedRecord{Record: r, ProcessID: ld.vm.processID, Liveness: ld.livenessCounter + 1, SpareGranted: spareGranted}
 }
@@ -233,6 +240,10 @@
 			ld.mu.Unlock()
 			return errNotLeader
 		}
+		if ld.unproved {
+			ld.mu.Unlock()
+			return errUnproved
+		}
 		objectVersion := ld.objectVersion
 		changed, ok := change(ld.state.Record)
 		if !ok {
@@ -255,7 +266,7 @@
 		if !errors.Is(err, pollendoor.ErrConflict) {
 			pollendoor.Pause(ctx, retryPause/2)
 		}
-		if err := ld.confirm(ctx); errors.Is(err, errNotLeader) {
+		if err := ld.confirm(ctx); errors.IsAny(err, errNotLeader, errUnproved) {
 			return err
 		}
 		ld.mu.Lock()
@@ -298,7 +309,7 @@
 	}
 	defer ld.writeMu.Unlock()
 	ld.mu.Lock()
-	leading, objectVersion, r := ld.isLeading(), ld.objectVersion, ld.nextRecord(ld.state.Record)
+	leading, objectVersion, r := ld.isLeading() && !ld.unproved, ld.objectVersion, ld.nextRecord(ld.state.Record)
 	ld.livenessWritten = clock.Now()
 	ld.mu.Unlock()
 	if !leading {
@@ -332,6 +343,11 @@
 		ld.mu.Unlock()
 		return errNotLeader // the record was read in an earlier tenure
 	}
+	if ld.copyIsOld(objectVersion, &r) {
+		ld.noteOldCopy(objectVersion)
+		ld.mu.Unlock()
+		return errUnproved
+	}
 	if r.ProcessID != ld.vm.processID || r.Token != ld.state.Record.Token {
 		wasLeading := ld.leading
 		ld.leading, ld.handingOver = false, false
@@ -343,6 +359,11 @@
 		ld.vm.adoptRecord(r, "confirm")
 		return errNotLeader
 	}
+	if ld.unproved {
+		ld.noteRewritten(objectVersion, r, start)
+		ld.mu.Unlock()
+		return errUnproved
+	}
 	if r.Version > ld.state.Record.Version {
 		// The response to a write was lost.
 		ld.vm.adoptRecord(r, "confirm")
@@ -394,6 +415,7 @@
 		if !leading {
 			ld.tenure.end()
 		}
+		proofDue := ld.unproved && ld.rewritten == 0
 		handoverDue := ld.vm.leaving.Load() && (leading || ld.handingOver)
 		ld.mu.Unlock()
 		if handoverDue {
@@ -402,10 +424,13 @@
 		if !leading {
 			continue
 		}
-		if confirmDue && confirming.TryLock() {
+		if (confirmDue || proofDue) && confirming.TryLock() {
 			go func() {
 				defer confirming.Unlock()
-				if err := ld.confirm(ctx); err != nil && !errors.Is(err, errNotLeader) {
+				switch err := ld.confirm(ctx); {
+				case errors.Is(err, errUnproved):
+					ld.proveAgain(ctx)
+				case err != nil && !errors.Is(err, errNotLeader):
 					pollendoor.Pause(ctx, retryPause)
 				}
 			}()
--- a/fleet/recordreader.go
+++ b/fleet/recordreader.go
@@ -121,7 +121,10 @@
 func (rr *recordReader) readAndAnswer(v *VM, queries []packet) {
 	ctx, cancel := context.WithTimeout(context.Background(), storeReadTimeout)
 	defer cancel()
-	_, r, err := v.leader.readRecord(ctx)
+	objectVersion, r, err := v.leader.readRecord(ctx)
+	if err == nil && !isCurrent(objectVersion, &r.Record) {
+		err = errUnproved
+	}
 	if err != nil {
 		v.stats.StoreErrors.Add(1)
 		v.Log.Debug().Err(err).Int("vms", len(queries)).Msg("record not read on behalf of other VMs")
--- a/fleet/takeover.go
+++ b/fleet/takeover.go
@@ -144,7 +144,9 @@
 		m.noteLiveness(r.Liveness, clock.Now())
 		m.mu.Unlock()
 		v.adoptRecord(r, "own read")
-		m.adoptLeaseFromRead(&r.Record, sent)
+		if isCurrent(o.Version, &r.Record) {
+			m.adoptLeaseFromRead(&r.Record, sent)
+		}
 	}()
 }
 
--- a/lease/delta.go
+++ b/lease/delta.go
@@ -31,6 +31,7 @@
 	Evicted []string         `cbor:"9,keyasint,omitempty"` // Evicted, Settled and Keepers are those of the later version
 	Settled bool             `cbor:"10,keyasint,omitempty"`
 	Keepers []string         `cbor:"11,keyasint,omitempty"`
+	Era     uint64           `cbor:"12,keyasint,omitempty"`
 }
 
 // Insertion is a member that is inserted into the list of members at an index.
@@ -44,7 +45,7 @@
 func NewDelta(from, to *Record) (Delta, bool) {
 	d := Delta{
 		From: from.RecordVersion(), To: to.RecordVersion(), Leader: to.Leader, Addr: to.Addr,
-		Groups: make(map[string]Group), Evicted: to.Evicted, Settled: to.Settled, Keepers: to.Keepers,
+		Groups: make(map[string]Group), Evicted: to.Evicted, Settled: to.Settled, Keepers: to.Keepers, Era: to.Era,
 	}
 	if !d.From.Before(d.To) {
 		return Delta{}, false
@@ -87,7 +88,7 @@
 	}
 	n := r.WithGroups(d.Groups)
 	n.Token, n.Version, n.Leader, n.Addr = d.To.Token, d.To.Version, d.Leader, d.Addr
-	n.Evicted, n.Settled, n.Keepers = slices.Clone(d.Evicted), d.Settled, slices.Clone(d.Keepers)
+	n.Evicted, n.Settled, n.Keepers, n.Era = slices.Clone(d.Evicted), d.Settled, slices.Clone(d.Keepers), d.Era
 	removed := toSet(d.Removed)
 	n.Members = slices.DeleteFunc(n.Members, func(m string) bool { return removed[m] })
 	for _, p := range d.Added {
--- a/lease/leader.go
+++ b/lease/leader.go
@@ -51,6 +51,8 @@
 }
 
 type member struct {
+	process        uint64        // identifies the process that sent the last heartbeat
+	processSince   time.Duration // time of the first heartbeat of that process
 	lastHeartbeat  time.Duration // time of its last heartbeat; zero if none has come since the claim
 	adoptedVersion uint64        // version of the record that the member has adopted
 	noClaimUntil   time.Duration // until then the member has promised not to claim leadership
@@ -87,6 +89,7 @@
 // Heartbeat is what a VM periodically reports to the leader.
 type Heartbeat struct {
 	VM      string
+	Process uint64            // identifies the VM's process
 	Version uint64            // version of the record that the VM has adopted
 	Echo    time.Duration     // leader's timestamp from an earlier answer, sent back unchanged
 	Promise time.Duration     // how long after Echo the VM will not claim leadership
@@ -122,6 +125,9 @@
 		}
 		l.reporters[group][b.VM] = true
 	}
+	if m.lastHeartbeat == 0 || m.process != b.Process {
+		m.process, m.processSince = b.Process, now
+	}
 	m.lastHeartbeat, m.adoptedVersion, m.reports, m.power, m.zone = now, b.Version, b.Reports, b.Power, b.Zone
 	m.boundUntil, m.grantedUntil = now+b.Bound, now+b.Granted
 	if b.VM == l.formerLeader && b.Version > 0 && l.formerReleased == 0 {
@@ -252,6 +258,24 @@
 	return now < l.Confirmed+proofMaxAge || now < min(l.promiseEnds(l.Record.Members).noClaim, l.Confirmed+UnanimousHoldTime)
 }
 
+// MostAdopted reports whether most members have adopted the record in a version, or a later
+// one, of this leader. Only processes that this leader had heard from before its last proof
+// count: one that has started since may have forgotten another leader.
+func (l *Leader) MostAdopted(version uint64) bool {
+	n := 0
+	for _, name := range l.Record.Members {
+		m := l.members[name]
+		if name == l.Self || m != nil && m.adoptedVersion >= version && m.processSince <= l.Confirmed {
+			n++
+		}
+	}
+	return 2*n > len(l.Record.Members)
+}
+
+// Rewritten adopts a record that this VM has written to a store that came back from an older
+// copy. It proves nothing: another leader may have written one that the store has lost.
+func (l *Leader) Rewritten(r Record) { l.Record, l.promiseCache = r, nil }
+
 // EarlierLeasesEnded reports whether all leases that an earlier leader granted on
 // the strength of promises have ended. This is so once most members found at the
 // claim have confirmed this leader's record, once the former leader confirmed it
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -681,3 +681,62 @@
 		t.Errorf("old record: got %d groups, want %d as before", got, want)
 	}
 }
+
+// Guards against a token that goes back or is used twice, and against a primary that the store
+// has forgotten, after the store has come back from an older copy.
+func TestClaimInALaterEra(t *testing.T) {
+	r := lease.Record{Token: 4, Version: 9, Era: 1, Members: []string{"a"}, Groups: map[string]lease.Group{"g": {Epoch: 2, Primary: "p", Term: 1}}}
+	for _, tc := range []struct {
+		name   string
+		base   lease.Record
+		era    uint64
+		least  uint64 // token of the claim
+		moving bool
+	}{
+		{"same era", r, 1, 5, false},
+		{"next era", r, 2, 2<<32 + 1, true},
+		{"two eras later", r, 3, 3<<32 + 1, true},
+		{"first claim of all", lease.Record{}, 1, 1, false},
+		{"first claim after the store has lost all", lease.Record{}, 2, 2<<32 + 1, false},
+		{"no era is known", lease.Record{Token: 4}, 0, 5, false},
+	} {
+		base := tc.base.InEra(tc.era)
+		next := base.Claim("b", "addr")
+		if next.Token != tc.least || next.Era != tc.era || next.Groups["g"].Moving != tc.moving {
+			t.Errorf("%s: got token %d, era %d, moving %v, want %d, %d, %v", tc.name, next.Token, next.Era, next.Groups["g"].Moving, tc.least, tc.era, tc.moving)
+		}
+	}
+	if r.Groups["g"].Moving {
+		t.Error("got a change of the record that the claim is based on, want none")
+	}
+}
+
+// Guards against two leaders after the store has come back from an older copy: most members
+// have to confirm the record, with processes that the leader knew before.
+func TestMostAdopted(t *testing.T) {
+	r := lease.Record{Token: 4, Version: 9, Leader: "a", Members: []string{"a", "b", "c"}}
+	heartbeat := func(l *lease.Leader, vm string, process, version uint64, at time.Duration) {
+		l.ReceiveHeartbeat(lease.Heartbeat{VM: vm, Process: process, Version: version}, at)
+	}
+	for _, tc := range []struct {
+		name string
+		do   func(*lease.Leader)
+		want bool
+	}{
+		{"nobody", func(*lease.Leader) {}, false},
+		{"an earlier version", func(l *lease.Leader) { heartbeat(l, "b", 1, 9, 5*second) }, false},
+		{"one of two others", func(l *lease.Leader) { heartbeat(l, "b", 1, 10, 5*second) }, true},
+		{"one that has started again", func(l *lease.Leader) { heartbeat(l, "b", 2, 10, 5*second) }, false},
+		{"one that is no member", func(l *lease.Leader) { heartbeat(l, "d", 1, 10, 5*second) }, false},
+	} {
+		l := lease.Claim("a", lease.Record{}, r, lease.Bounds{}, second, second)
+		heartbeat(&l, "b", 1, 9, 2*second)
+		heartbeat(&l, "d", 1, 9, 2*second)
+		l.Confirmed = 3 * second
+		l.Rewritten(r.NextVersion())
+		tc.do(&l)
+		if got := l.MostAdopted(10); got != tc.want {
+			t.Errorf("%s: got %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
--- a/lease/record.go
+++ b/lease/record.go
@@ -103,6 +103,9 @@
 	// Evicted are the former members that were evicted recently. They may hold a
 	// lease that they got by reading an older record.
 	Evicted []string `json:"struck,omitempty"`
+	// Era is the era of the store in which the record was written. A record that the store
+	// holds in a later era may be older than the newest one.
+	Era uint64 `json:"era,omitempty"`
 	// Settled is true if no lease granted by an earlier leader is in use.
 	Settled bool `json:"settled,omitempty"`
 }
@@ -120,6 +123,30 @@
 	return n
 }
 
+// eraTokenBits is the number of low bits of a token that count the claims of an era.
+const eraTokenBits = 32
+
+// NextVersion returns the record with the next version number and nothing else changed.
+func (r *Record) NextVersion() Record { return r.nextVersion() }
+
+// InEra returns the record with the era of the store in which it is written next. Tokens
+// that are claimed in a later era are larger than all of earlier ones, also than those that
+// the store has lost. In a later era the groups are moving, as the store may have forgotten
+// which primaries are in use.
+func (r Record) InEra(era uint64) Record {
+	if era <= r.Era {
+		return r
+	}
+	if era > 1 {
+		r.Token = max(r.Token, era<<eraTokenBits)
+	}
+	r.Era, r.Groups = era, maps.Clone(r.Groups)
+	for name, g := range r.Groups {
+		r.Groups[name] = g.Move(false)
+	}
+	return r
+}
+
 // Claim returns the record with vm as its leader under the next token. Only the
 // first leader becomes a member by its claim: others wait until the members may
 // change.
--- a/store.go
+++ b/store.go
@@ -18,14 +18,31 @@
 )
 
 // Object is one versioned value of the platform's store. Version is opaque, except
-// that zero means that the object does not exist.
+// that zero means that the object does not exist, and that Era tells its era.
 type Object struct {
 	Name    string
 	Version uint64
 	Value   []byte
 }
 
-// Objects is the object API of a platform.
+// eraBits is the number of low bits of a version that hold the store's own revision.
+const eraBits = 40
+
+// MaxEra is the largest era that a version can hold, and MaxRevision the largest revision.
+const (
+	MaxEra      = 1<<(64-eraBits) - 1
+	MaxRevision = 1<<eraBits - 1
+)
+
+// NewVersion returns the version for a revision of the store in an era. The era rises each
+// time the store comes back from an older copy, in which revisions are given out again, so
+// that versions of a later era are larger.
+func NewVersion(era, revision uint64) uint64 { return era<<eraBits | revision&MaxRevision }
+
+// Era returns the era of the store in which a version was given out.
+func Era(version uint64) uint64 { return version >> eraBits }
+
+// Objects is the object API of a platform. Versions and revisions are those of NewVersion.
 //
 // After an error other than ErrNotFound and ErrConflict, a Put or Delete may or may
 // not have taken effect; the caller must read the object to find out.
