--- a/cmd/pollendoor/soak.go
+++ b/cmd/pollendoor/soak.go
@@ -18,6 +18,7 @@
 	Seed     uint64        `default:"1" help:"First seed."`
 	Seeds    int           `default:"1" help:"Number of seeds, run one after the other."`
 	Draw     bool          `help:"Draw the deployment from the seed: fleet, groups, routes and load."`
+	Restores bool          `help:"Make the store come back from older copies as well."`
 	VMs      int           `name:"vms" help:"Number of VM processes; 0 stands for 6, or for a drawn number."`
 	Duration time.Duration `default:"10s" help:"How long new faults are injected, for each seed."`
 	Dir      string        `type:"path" help:"Keep the settings and logs of failed seeds below this directory."`
@@ -37,7 +38,7 @@
 		if err != nil {
 			return errors.Wrap(err, "create log directory")
 		}
-		r := soak.Run{Seed: seed, Draw: c.Draw, VMs: c.VMs, Duration: c.Duration, Binary: c.Binary, Dir: dir, First: c.First}
+		r := soak.Run{Seed: seed, Draw: c.Draw, Restores: c.Restores, VMs: c.VMs, Duration: c.Duration, Binary: c.Binary, Dir: dir, First: c.First}
 		rep, err := r.Do(context.Background())
 		if err != nil {
 			rep.Violations = append(rep.Violations, err.Error())
--- a/fleet/era.go
+++ b/fleet/era.go
@@ -41,7 +41,7 @@
 func (ld *leader) noteOldCopy(objectVersion uint64) {
 	era := pollendoor.Era(objectVersion)
 	if !ld.unproved {
-		ld.vm.stats.StoreDrills.Add(1)
+		ld.vm.stats.StoreRestores.Add(1)
 		ld.vm.Log.Warn().Uint64("era", era).Uint64("before", ld.era).Uint64("token", ld.state.Record.Token).
 			Msg("record lost with an older copy of the store")
 	}
--- a/fleet/stats.go
+++ b/fleet/stats.go
@@ -34,8 +34,8 @@
 	OverRateKnown atomic.Int64 // operations refused over the rate without a request to a quota keeper
 	ShareMissing  atomic.Int64 // operations refused because a quota share had not arrived in time
 	KeepersSilent atomic.Int64 // times that a quota keeper began not to answer this VM
-	// StoreDrills counts the times that the record was lost with an older copy of the store.
-	StoreDrills      atomic.Int64
+	// StoreRestores counts the times that the record was lost with an older copy of the store.
+	StoreRestores      atomic.Int64
 	RecordsRewritten atomic.Int64 // records that were written again after that
 
 	KeeperProbes atomic.Int64 // probes of quota keepers that did not answer
@@ -147,7 +147,7 @@
 		{"quota_share_missing_total", s.ShareMissing.Load()},
 		{"quota_keepers_silent_total", s.KeepersSilent.Load()},
 		{"quota_keeper_probes_total", s.KeeperProbes.Load()},
-		{"store_records_lost_total", s.StoreDrills.Load()},
+		{"store_records_lost_total", s.StoreRestores.Load()},
 		{"store_records_rewritten_total", s.RecordsRewritten.Load()},
 		{"evacuations_total", s.Evacuations.Load()},
 		{"evacuated_zones", int64(len(v.evacuations.Load().Zones()))},
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -26,6 +26,13 @@
 	var list []string
 	var wg sync.WaitGroup
 	begin := time.Now()
+	if r.Restores {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			r.injectRestores(ctx, begin.Add(r.Duration))
+		}()
+	}
 	for time.Since(begin) < r.Duration && ctx.Err() == nil {
 		name, inject := r.drawFault()
 		length := time.Duration((0.2 + 1.6*r.rand.Float64()) * float64(meanFaultTime))
@@ -41,6 +48,27 @@
 	return list
 }
 
+// injectRestores makes the store come back from older copies until the given time, every second
+// time twice in a row.
+func (r *Run) injectRestores(ctx context.Context, until time.Time) {
+	random := rand.New(rand.NewPCG(r.Seed, 1))
+	between := func(from, to time.Duration) time.Duration {
+		return from + time.Duration(random.Int64N(int64(to-from)))
+	}
+	for ctx.Err() == nil {
+		pollendoor.Pause(ctx, between(time.Second, 4*time.Second))
+		if time.Now().After(until) {
+			return
+		}
+		for range 1 + random.IntN(2) {
+			from := time.Now()
+			r.store.Restore(between(500*time.Millisecond, 4*time.Second), between(100*time.Millisecond, 800*time.Millisecond), between(200*time.Millisecond, 2*time.Second))
+			r.checks.excuse("", from, r.Deployment.EvacuateTime)
+			pollendoor.Pause(ctx, between(300*time.Millisecond, 2*time.Second))
+		}
+	}
+}
+
 // drawFault chooses a random fault. It returns a description and a function that
 // injects the fault for a given duration.
 func (r *Run) drawFault() (string, func(time.Duration)) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -59,6 +59,9 @@
 	Dir      string        // directory for the settings and logs of the processes
 	// Draw draws the deployment from the seed. A run that does not has a fixed one.
 	Draw bool
+	// Restores makes the store come back from older copies during the run. It does not change
+	// what else a seed draws.
+	Restores bool
 	// Deployment is what the run plays. Do sets it.
 	Deployment Deployment
 	// First is the last byte of the first VM's address, 127.0.1.First; zero means
@@ -195,6 +198,9 @@
 	}
 	r.store = &fake.Store{PageSize: 4, Promote: r.promote}
 	address := r.store.Start()
+	if r.Restores {
+		r.store.SetEra(1)
+	}
 	for _, g := range r.groups {
 		for _, m := range g.Members() {
 			proxy, err := newProxy(m.Addr)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -38,21 +38,36 @@
 		{327, true, "no failure, evacuations beside faults"},
 	} {
 		t.Run(fmt.Sprint(tc.seed), func(t *testing.T) {
-			r := soak.Run{Seed: tc.seed, Draw: tc.draw, Duration: 6 * time.Second, Binary: binary, Dir: t.TempDir(), First: 201}
-			rep, err := r.Do(t.Context())
-			if err != nil {
-				t.Fatal(err)
-			}
-			for _, v := range rep.Violations {
-				t.Error(v)
-			}
-			if t.Failed() {
-				t.Logf("faults: %q", rep.Faults)
-			}
-			if len(rep.Evacuated) > 0 {
-				t.Logf("last requests to evacuated zones: %q", rep.Evacuated)
-			}
-			t.Logf("statements %v, promotions %d, rolled back %d, longest stall %v", rep.Statements, rep.Promotions, rep.RolledBack, rep.Stall)
+			check(t, &soak.Run{Seed: tc.seed, Draw: tc.draw, Duration: 6 * time.Second, Binary: binary, Dir: t.TempDir(), First: 201})
 		})
 	}
 }
+
+// TestSoakWithRestores is TestSoak with a store that comes back from older copies.
+func TestSoakWithRestores(t *testing.T) {
+	binary := buildBinary(t)
+	for _, seed := range []uint64{1, 2} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			check(t, &soak.Run{Seed: seed, Restores: true, Duration: 6 * time.Second, Binary: binary, Dir: t.TempDir(), First: 201})
+		})
+	}
+}
+
+// check plays a run and reports what it has found.
+func check(t *testing.T, r *soak.Run) {
+	t.Helper()
+	rep, err := r.Do(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range rep.Violations {
+		t.Error(v)
+	}
+	if t.Failed() {
+		t.Logf("faults: %q", rep.Faults)
+	}
+	if len(rep.Evacuated) > 0 {
+		t.Logf("last requests to evacuated zones: %q", rep.Evacuated)
+	}
+	t.Logf("statements %v, promotions %d, rolled back %d, longest stall %v", rep.Statements, rep.Promotions, rep.RolledBack, rep.Stall)
+}
--- a/spec/era.pml
+++ b/spec/era.pml
@@ -127,7 +127,7 @@
 	od
 }
 
-active proctype drill() {
+active proctype restore() {
 end:	do
 	:: atomic { era < ERAS - 1 && (copyRec != rec || copyOwner != owner) -> copyRec = rec; copyOwner = owner }
 	:: atomic { era < ERAS - 1 -> era++; rec = copyRec; owner = copyOwner }
