--- a/fleet/stats.go
+++ b/fleet/stats.go
@@ -35,7 +35,7 @@
 	ShareMissing  atomic.Int64 // operations refused because a quota share had not arrived in time
 	KeepersSilent atomic.Int64 // times that a quota keeper began not to answer this VM
 	// StoreRestores counts the times that the record was lost with an older copy of the store.
-	StoreRestores      atomic.Int64
+	StoreRestores    atomic.Int64
 	RecordsRewritten atomic.Int64 // records that were written again after that
 
 	KeeperProbes atomic.Int64 // probes of quota keepers that did not answer
