fleet: an evacuation outlasts a store that has forgotten it

A store that comes back from an older copy may lack an evacuation until the operator has written it again, within about two seconds. VMs took the list for the end of the evacuation and used the zone's databases again 1 s later.

A list of a later era that lacks known evacuations is not adopted for 3 s; the leader's next list is.

--- a/fleet/evacuation.go
+++ b/fleet/evacuation.go
@@ -106,6 +106,24 @@
 	v.adoptZones(zones, revision)
 }
 
+// rewriteTime is how long after its return from an older copy the store may lack what the
+// operator had written.
+const rewriteTime = 3 * time.Second
+
+// mayHaveForgotten reports whether a list of evacuations that lacks known ones is from a store
+// that has just come back from an older copy. The list is read again later. The caller holds
+// evacuationMu.
+func (v *VM) mayHaveForgotten(listed, known uint64, now time.Duration) bool {
+	era := pollendoor.Era(listed)
+	if era == pollendoor.Era(known) {
+		return false
+	}
+	if era != v.evacuationEra {
+		v.evacuationEra, v.evacuationEraSince = era, now
+	}
+	return now < v.evacuationEraSince+rewriteTime
+}
+
 // evacuatedZone returns the zone of an evacuation entry. It reports false for an entry
 // that can't be used. An entry whose zone has no VM and no target has no effect. Either
 // is logged once for each version of the entry.
@@ -176,6 +194,10 @@
 	v.evacuationMu.Lock()
 	old := v.evacuations.Load()
 	next, change, ok := old.Adopt(*set, now)
+	if ok && source == "store" && len(change.Ended) > 0 && v.mayHaveForgotten(set.Revision, old.Revision(), now) {
+		v.evacuationMu.Unlock()
+		return
+	}
 	if ok {
 		v.evacuations.Store(next)
 	}
--- a/fleet/vm.go
+++ b/fleet/vm.go
@@ -89,10 +89,14 @@
 	lagByTarget   sync.Map // lagState by target ID
 	replicaLags   sync.Map // replicaLag by target ID, in adaptive groups
 
-	evacuations    atomic.Pointer[evac.State] // nil if evacuations are not followed
-	evacuationMu   sync.Mutex                 // serializes changes of evacuations, and guards the following
-	takeovers      evac.Takeovers
-	ignoredEntries map[string]uint64 // versions of the evacuation entries that were logged as ignored, by name
+	evacuations  atomic.Pointer[evac.State] // nil if evacuations are not followed
+	evacuationMu sync.Mutex                 // serializes changes of evacuations, and guards the following
+	takeovers    evac.Takeovers
+	// evacuationEra is the newest era of the store in which a list lacked known evacuations,
+	// and evacuationEraSince when the first such list came.
+	evacuationEra      uint64
+	evacuationEraSince time.Duration
+	ignoredEntries     map[string]uint64 // versions of the evacuation entries that were logged as ignored, by name
 
 	failureMu    sync.Mutex
 	failureRates map[string]failureRate // by target ID, only of targets that have failed lately
