roster: a store that has forgotten a target's start doesn't make it cold again

Cause: the older copy has the entry of the target's former process. VMs took it for another start, and the entry that the target wrote again for one more, with a fresh allowance each time.

Change: an entry with an earlier start is ignored if the era of the store has risen since the target's entry changed last. A later one counts, also if its clock was set back.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -286,6 +286,9 @@
 func (r *Roster) set(s *snapshot, t pollendoor.TargetInfo) []Change {
 	before := s.byID[t.ID]
 	_, missing := r.missingSince[t.ID]
+	if t.Born < before.Born && pollendoor.Era(s.revision) > pollendoor.Era(r.changedAt[t.ID]) {
+		t = before // the store has forgotten that the target started again
+	}
 	if before == t && !missing {
 		return nil
 	}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -202,3 +202,39 @@
 	list(6*time.Second, "a")
 	check(7*time.Second, "b", 0)
 }
+
+// Guards against a cold target that gets work as if it had started again: an older copy of the
+// store had the entry of its former process, until the target wrote its own again.
+func TestForgottenStartIsIgnored(t *testing.T) {
+	var r roster.Roster
+	now := time.Unix(1000, 0)
+	apply := func(born int64, era, revision uint64) []roster.Change {
+		t.Helper()
+		changes, ok := r.ApplyList([]pollendoor.TargetInfo{{ID: "a", Born: born}}, pollendoor.NewVersion(era, revision), now)
+		if !ok {
+			t.Fatal("got a list that was ignored")
+		}
+		return changes
+	}
+	apply(5, 1, 10)
+	apply(9, 1, 20)
+	for _, tc := range []struct {
+		name          string
+		born          int64
+		era, revision uint64
+		want          int64 // start of the process that is known then
+		changes       int
+	}{
+		{"older copy", 5, 2, 12, 9, 0},
+		{"entry written again", 9, 2, 15, 9, 0},
+		{"another start", 11, 2, 16, 11, 1},
+		{"clock of the target set back", 7, 2, 17, 7, 1},
+	} {
+		if got := len(apply(tc.born, tc.era, tc.revision)); got != tc.changes {
+			t.Errorf("%s: got %d changes, want %d", tc.name, got, tc.changes)
+		}
+		if got, _ := r.Get("a"); got.Born != tc.want {
+			t.Errorf("%s: got born %d, want %d", tc.name, got.Born, tc.want)
+		}
+	}
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -46,9 +46,17 @@
 // TestSoakWithRestores is TestSoak with a store that comes back from older copies.
 func TestSoakWithRestores(t *testing.T) {
 	binary := buildBinary(t)
-	for _, seed := range []uint64{1, 2} {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			check(t, &soak.Run{Seed: seed, Restores: true, Duration: 6 * time.Second, Binary: binary, Dir: t.TempDir(), First: 201})
+	for _, tc := range []struct {
+		seed  uint64
+		draw  bool
+		cause string
+	}{
+		{1, false, "no failure, the short run of CI"},
+		{2, false, "no failure, the short run of CI"},
+		{3024, true, "entries of former processes made cold targets start again"},
+	} {
+		t.Run(fmt.Sprint(tc.seed), func(t *testing.T) {
+			check(t, &soak.Run{Seed: tc.seed, Draw: tc.draw, Restores: true, Duration: 6 * time.Second, Binary: binary, Dir: t.TempDir(), First: 201})
 		})
 	}
 }
