--- a/review/cases-3/fleet.go
+++ b/review/cases-3/fleet.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pollendoor/pollendoor/platform/fake"
@@ -169,6 +170,7 @@
 	cmd := exec.Command("target/pollenvm", "serve")
 	cmd.Env = []string{"POLLENDOOR_NODE_FILE=" + v.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also if this process is killed
 	if err := cmd.Start(); err != nil {
 		return err
 	}
