--- a/review/cases-3/flood.go
+++ b/review/cases-3/flood.go
@@ -41,7 +41,7 @@
 		v := b.pick(nil)
 		sent := flood(v, conns, size)
 		f.note("flood %d: %d connections to %s sent %d MB", i+1, conns, v.name, sent>>20)
-		time.Sleep(time.Second)
+		time.Sleep(500 * time.Millisecond)
 	}
 	close(stop)
 	return f.endedAlone(3, 2), nil
