lease: compare the log of a former primary that still leads its term

Cause: the former primary, which has all commits, continues for a second and says that it leads an older term. Succession left its log out as that of a target without one, but counted it as having answered, so that nothing was waited for. On the same ground a target that was promoted by an earlier leader and can't be used yet counted as having answered, and one in an evacuated zone that still leads an older term. Ruled out: missing answers and missing holders; both replicas are listed, recorded and answer at once.

Change: lease/proof.go says in one place what an answer proves. The same list of logs serves the choice and the check for missing answers. The leader waits until a former primary that it promotes leads a later term than before, and a former primary that drains is asked to step down, too.

--- a/fleet/failover.go
+++ b/fleet/failover.go
@@ -243,7 +243,7 @@
 		c, term := choice.Next, choice.Next.Status.Term
 		if choice.Promote {
 			var ok bool
-			if term, ok = ld.promote(ctx, name, g, c.Target); !ok {
+			if term, ok = ld.promote(ctx, name, g, c); !ok {
 				pollendoor.Pause(ctx, busyRetryPause)
 				continue
 			}
@@ -260,7 +260,7 @@
 		v.Log.Info().Str("group", name).Str("cause", cause).Str("from", g.Primary).Str("to", c.Target.ID).
 			Uint64("term", uint64(term)).Uint64("index", c.Status.Index).Bool("promoted", choice.Promote).
 			Dur("dropping", releasedAt-start).Dur("whole", clock.Now()-start).Msg("primary replaced")
-		if old, ok := v.targets.Get(g.Primary); ok && choice.Promote && !old.Draining && !v.evacuations.Load().Evacuated(old.Zone) {
+		if old, ok := v.targets.Get(g.Primary); ok && choice.Promote && !v.evacuations.Load().Evacuated(old.Zone) {
 			_, err := v.controlTarget(ctx, old, func(c pollendoor.TargetConn, deadline time.Time) (pollendoor.TargetStatus, error) {
 				return c.StepDown(term, deadline)
 			})
@@ -351,8 +351,8 @@
 
 // promote orders the promotion of a target of the moving group g, and waits until the
 // target is the primary. It returns the target's term.
-func (ld *leader) promote(ctx context.Context, name string, g lease.Group, t pollendoor.TargetInfo) (pollendoor.Term, bool) {
-	v := ld.vm
+func (ld *leader) promote(ctx context.Context, name string, g lease.Group, c lease.Candidate) (pollendoor.Term, bool) {
+	v, t := ld.vm, c.Target
 	for ctx.Err() == nil {
 		ld.mu.Lock()
 		mayOrder := ld.state.EarlierCallsEnded(ld.callTime(), clock.Now())
@@ -380,7 +380,8 @@
 	until := clock.Now() + promotedTimeout
 	for clock.Now() < until && ctx.Err() == nil {
 		st, err := v.targetStatus(ctx, t)
-		if err == nil && st.Role == pollendoor.Primary {
+		// A former primary says that it leads its old term until the promotion takes effect.
+		if err == nil && st.Role == pollendoor.Primary && (c.Status.Role != pollendoor.Primary || st.Term > c.Status.Term) {
 			return st.Term, true
 		}
 		pollendoor.Pause(ctx, promotedPoll)
--- /dev/null
+++ b/lease/proof.go
@@ -0,0 +1,83 @@
+package lease
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pollendoor/pollendoor"
+)
+
+// sort decides what each answer of a target proves. It is the only place that does.
+//
+// A target counts as one that holds no acknowledged commit beyond those of the next primary
+// only if its log has been compared with that of the next primary. So logs, the targets that
+// may be promoted, are also the only ones that count as having answered. Neither the role
+// nor the term that a target reports matters: one that still leads an older term than the
+// record's has all commits that it acknowledged in that term. A log is left out if it does
+// not count:
+//   - The target is in an evacuated zone and must not be promoted.
+//   - The target has lost its log. It may be promoted if no other target returns in time.
+//   - The target leads the record's term or a later one. Then it is whole, the target with
+//     every acknowledged commit, and leading if it may be used as it is.
+func (s *Succession) sort(g Group, answers []Candidate, now time.Duration) (whole, leading *Candidate, logs []Candidate) {
+	for _, c := range answers {
+		switch {
+		case c.Status.Role == pollendoor.Primary && c.Status.Term >= g.Term:
+			if whole == nil || c.Status.Term > whole.Status.Term {
+				whole = &c
+			}
+			// The promotion of another target that was ordered may take effect later.
+			mayBeSuperseded := g.Ordered != "" && (c.Status.Term == g.Term || g.Ordered != c.Target.ID && !s.OrdersEnded)
+			if !mayBeSuperseded && (leading == nil || c.Status.Term > leading.Status.Term) {
+				leading = &c
+			}
+		case s.away(c.Target):
+		case s.lostLog(g, c) && now < s.started+lostTargetTimeout:
+		default:
+			logs = append(logs, c)
+		}
+	}
+	return whole, leading, logs
+}
+
+// lostLog reports whether a target has started again without its log.
+func (s *Succession) lostLog(g Group, c Candidate) bool {
+	// The log of the record's primary may not be in an older term than the record.
+	return c.position().IsZero() && !s.Known.IsZero() || c.Target.ID == g.Primary && c.Status.Term < g.Term
+}
+
+// noteListed records which targets the platform's store lists, and which of the record's
+// holders it does not.
+func (s *Succession) noteListed(g Group, targets []pollendoor.TargetInfo, now time.Duration) {
+	if s.listed == nil {
+		s.started, s.listed = now, make(map[Holder]time.Duration)
+	}
+	for _, h := range g.Holders.List() {
+		if _, ok := s.listed[h]; !ok {
+			s.listed[h] = now
+		}
+	}
+	for _, t := range targets {
+		s.listed[holderOf(t)] = now
+	}
+}
+
+// unanswered returns the number of replicas of the old primary that may hold acknowledged
+// commits, whose logs are not among those that count, and that are not given up. The answer
+// of a process that started later under the same ID says nothing of the one before. One at
+// the same address under another ID has received the log of a target that was drained.
+func (s *Succession) unanswered(g Group, logs []Candidate, now time.Duration) int {
+	n := 0
+	for h, listedAt := range s.listed {
+		answered := slices.ContainsFunc(logs, func(c Candidate) bool {
+			if c.position().IsZero() && !s.Known.IsZero() {
+				return false
+			}
+			return h.isProcess(c.Target) || c.Target.ID != h.ID && c.Target.Addr == h.Addr && h.Addr != ""
+		})
+		if h.ID != g.Primary && !answered && now-listedAt < lostTargetTimeout {
+			n++
+		}
+	}
+	return n
+}
--- a/lease/succession.go
+++ b/lease/succession.go
@@ -89,34 +89,14 @@
 // those that have answered since the old primary was released.
 func (s *Succession) Next(g Group, syncReplicas int, targets []pollendoor.TargetInfo, answers []Candidate, now time.Duration) Choice {
 	s.noteListed(g, targets, now)
-	// Whole has every commit that was acknowledged. Leading may be used as it is.
-	var whole, leading *Candidate
-	var replicas, staying []Candidate
-	for _, c := range answers {
-		switch {
-		case c.Status.Role != pollendoor.Primary && s.away(c.Target):
-			// It may not be chosen, and does not count as having answered.
-		case c.Status.Role != pollendoor.Primary && c.position().IsZero() && !s.Known.IsZero() && now < s.started+lostTargetTimeout:
-			// It has lost its log. It may be promoted if no other target returns.
-		case c.Status.Role != pollendoor.Primary:
-			replicas = append(replicas, c)
-			if !c.Target.Draining {
-				staying = append(staying, c)
-			}
-		case c.Status.Term < g.Term:
-			// It has lost its log.
-		default:
-			if whole == nil || c.Status.Term > whole.Status.Term {
-				whole = &c
-			}
-			// The promotion of another target that was ordered may take effect later.
-			mayBeSuperseded := g.Ordered != "" && (c.Status.Term == g.Term || g.Ordered != c.Target.ID && !s.OrdersEnded)
-			if !mayBeSuperseded && (leading == nil || c.Status.Term > leading.Status.Term) {
-				leading = &c
-			}
+	whole, leading, logs := s.sort(g, answers, now)
+	var staying []Candidate
+	for _, c := range logs {
+		if !c.Target.Draining {
+			staying = append(staying, c)
 		}
 	}
-	if leading != nil && !s.away(leading.Target) && (!leading.Target.Draining || len(replicas) == 0) {
+	if leading != nil && !s.away(leading.Target) && (!leading.Target.Draining || len(logs) == 0) {
 		return Choice{Next: *leading}
 	}
 	if s.leavesZone(g, targets) {
@@ -124,7 +104,7 @@
 			s.whole = whole.position()
 		}
 		s.asked = s.asked || s.MayAsk && now >= s.started+primaryAnswerTimeout
-		return s.nextElsewhere(g, syncReplicas, targets, replicas, now)
+		return s.nextElsewhere(g, syncReplicas, targets, logs, now)
 	}
 	if c, ok := newestFor(g, staying); ok && whole != nil && !whole.position().Newer(c.position()) {
 		return Choice{Next: c, Promote: true}
@@ -137,12 +117,12 @@
 	case g.Planned && whole == nil && now < s.started+primaryAnswerTimeout:
 		return Choice{Wait: WaitPrimary}
 	}
-	next, ok := newestFor(g, replicas)
+	next, ok := newestFor(g, logs)
 	hasWhole := ok && whole != nil && !whole.position().Newer(next.position())
 	switch {
 	case !ok:
 		return Choice{Wait: WaitReplica}
-	case !hasWhole && syncReplicas > 0 && s.unanswered(g, answers, now) >= syncReplicas:
+	case !hasWhole && syncReplicas > 0 && s.unanswered(g, logs, now) >= syncReplicas:
 		return Choice{Wait: WaitAnswers}
 	}
 	return Choice{Next: next, Promote: true}
@@ -162,13 +142,13 @@
 }
 
 // nextElsewhere chooses the next primary of a group whose primary is in an evacuated zone,
-// among the replicas elsewhere that have answered. These continue to receive the log of
+// among the targets elsewhere whose logs count. These continue to receive the log of
 // the old primary, also while that must not be asked any more.
-func (s *Succession) nextElsewhere(g Group, syncReplicas int, targets []pollendoor.TargetInfo, replicas []Candidate, now time.Duration) Choice {
+func (s *Succession) nextElsewhere(g Group, syncReplicas int, targets []pollendoor.TargetInfo, logs []Candidate, now time.Duration) Choice {
 	if !slices.ContainsFunc(targets, func(t pollendoor.TargetInfo) bool { return !s.away(t) }) {
 		return Choice{Wait: WaitZones}
 	}
-	next, ok := Newest(replicas)
+	next, ok := Newest(logs)
 	switch {
 	case !ok:
 		return Choice{Wait: WaitReplica}
@@ -177,7 +157,7 @@
 			return Choice{Wait: WaitCatchUp}
 		}
 		// One that is not draining may be behind next and still have the whole log.
-		for _, c := range replicas {
+		for _, c := range logs {
 			if next.Target.Draining && !c.Target.Draining && !s.whole.Newer(c.position()) {
 				next = c
 			}
@@ -185,7 +165,7 @@
 	case s.MayAsk && g.Planned && now < s.started+primaryAnswerTimeout:
 		return Choice{Wait: WaitPrimary}
 	case syncReplicas > 0:
-		if s.unanswered(g, replicas, now) >= syncReplicas {
+		if s.unanswered(g, logs, now) >= syncReplicas {
 			return Choice{Wait: WaitAnswers}
 		}
 	case s.asked || !g.Planned:
@@ -198,42 +178,6 @@
 	return Choice{Next: next, Promote: true}
 }
 
-// noteListed records which targets the platform's store lists, and which of the record's
-// holders it does not.
-func (s *Succession) noteListed(g Group, targets []pollendoor.TargetInfo, now time.Duration) {
-	if s.listed == nil {
-		s.started, s.listed = now, make(map[Holder]time.Duration)
-	}
-	for _, h := range g.Holders.List() {
-		if _, ok := s.listed[h]; !ok {
-			s.listed[h] = now
-		}
-	}
-	for _, t := range targets {
-		s.listed[holderOf(t)] = now
-	}
-}
-
-// unanswered returns the number of replicas of the old primary that may hold acknowledged
-// commits, have not answered and are not given up. The answer of a process that started later
-// under the same ID says nothing of the one before. One at the same address under another ID
-// has received the log of a target that was drained.
-func (s *Succession) unanswered(g Group, answers []Candidate, now time.Duration) int {
-	n := 0
-	for h, listedAt := range s.listed {
-		answered := slices.ContainsFunc(answers, func(c Candidate) bool {
-			if c.position().IsZero() && !s.Known.IsZero() {
-				return false
-			}
-			return h.isProcess(c.Target) || c.Target.ID != h.ID && c.Target.Addr == h.Addr && h.Addr != ""
-		})
-		if h.ID != g.Primary && !answered && now-listedAt < lostTargetTimeout {
-			n++
-		}
-	}
-	return n
-}
-
 // CaughtUp reports whether a replica that is not draining has received the log of the
 // primary up to its status, which was read first.
 func CaughtUp(primary Candidate, replicas []Candidate) bool {
--- a/lease/succession_test.go
+++ b/lease/succession_test.go
@@ -259,15 +259,16 @@
 }
 
 // Commits are acknowledged once syncReplicas replicas have received them. Replicas stop
-// receiving, drain and don't answer, and primaries are replaced one after the other.
-// Each promoted target must have every acknowledged commit.
+// receiving, drain and don't answer, and primaries are replaced one after the other, each of
+// which says that it leads its term until it follows the next one. Each promoted target must have every acknowledged commit.
 func TestPromotedTargetHasAllAcknowledgedCommits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		type target struct {
-			info pollendoor.TargetInfo
-			term pollendoor.Term   // term that it leads or follows
-			log  []pollendoor.Term // terms of the entries
-			deaf bool
+			info  pollendoor.TargetInfo
+			term  pollendoor.Term   // term that it leads or follows
+			leads bool              // it says that it leads, also after it was replaced
+			log   []pollendoor.Term // terms of the entries
+			deaf  bool
 		}
 		n := rapid.IntRange(2, 5).Draw(t, "targets")
 		syncReplicas := rapid.IntRange(1, n-1).Draw(t, "syncReplicas")
@@ -276,6 +277,7 @@
 			all[i] = &target{info: pollendoor.TargetInfo{ID: string(rune('a' + i))}, term: 1}
 		}
 		primary, acked := all[0], []pollendoor.Term(nil)
+		primary.leads = true
 		g := lease.Group{Epoch: 1, Primary: primary.info.ID, Term: 1}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			switch rapid.IntRange(0, 5).Draw(t, "step") {
@@ -290,7 +292,7 @@
 				received := 0
 				for _, c := range all {
 					if c != primary && !c.deaf && rapid.Bool().Draw(t, "receives") {
-						c.term, c.log = g.Term, slices.Clone(primary.log)
+						c.term, c.leads, c.log = g.Term, false, slices.Clone(primary.log)
 					}
 					if c != primary && c.term == g.Term && slices.Equal(c.log, primary.log) {
 						received++
@@ -311,7 +313,7 @@
 							continue
 						}
 						st := pollendoor.TargetStatus{Role: pollendoor.Replica, Term: c.term, Index: uint64(len(c.log))}
-						if c == primary {
+						if c.leads {
 							st.Role = pollendoor.Primary
 						}
 						if len(c.log) > 0 {
@@ -326,7 +328,7 @@
 					i := slices.IndexFunc(all, func(c *target) bool { return c.info.ID == choice.Next.Target.ID })
 					if choice.Promote {
 						primary = all[i]
-						primary.term = g.Term + 1
+						primary.term, primary.leads = g.Term+1, true
 					}
 					g = g.Settle(primary.info.ID, primary.term)
 				}
@@ -338,6 +340,56 @@
 	})
 }
 
+// Guards against the loss of acknowledged commits: a former primary that still led its older
+// term counted as having answered, but its log did not count (review/11).
+func TestFormerPrimaryWithTheNewestLogIsPromoted(t *testing.T) {
+	draining := func(c lease.Candidate) lease.Candidate {
+		c.Target.Draining = true
+		return c
+	}
+	inTerm := func(term pollendoor.Term, c lease.Candidate) lease.Candidate {
+		c.Status.Term = term
+		return c
+	}
+	former, behind, current := draining(leading(replicaAt("former", 9))), replicaAt("behind", 5), inTerm(2, leading(replicaAt("new", 9)))
+	g := lease.Group{Epoch: 2, Primary: "new", Term: 2}
+	failed, planned := g.Move(false), g.Move(true)
+	list := func(c ...lease.Candidate) []lease.Candidate { return c }
+	for _, tc := range []struct {
+		name         string
+		g            lease.Group
+		syncReplicas int
+		targets      []lease.Candidate
+		answers      []lease.Candidate
+		evacuated    string
+		want         string
+		wait         lease.Wait
+	}{
+		{"the new primary crashes", failed, 1, list(former, behind, current), list(former, behind), "", "former", lease.WaitNone},
+		{"the same without synchronous replicas", failed, 0, list(former, behind, current), list(former, behind), "", "former", lease.WaitNone},
+		{"the same in a planned change", planned, 1, list(former, behind, current), list(former, behind), "", "", lease.WaitPrimary},
+		{"the former primary does not answer", failed, 1, list(former, behind, current), list(behind), "", "", lease.WaitAnswers},
+		{"only the former primary answers", failed, 1, list(former, behind, current), list(former), "", "", lease.WaitAnswers},
+		{"two targets only", failed, 1, list(former, current), list(former), "", "former", lease.WaitNone},
+		{"the new primary still leads", failed, 1, list(former, behind, current), list(former, behind, current), "", "new", lease.WaitNone},
+		{"a replica has a newer log", failed, 1, list(former, current), list(former, inTerm(2, replicaAt("behind", 10))), "", "behind", lease.WaitNone},
+		{"the promotion of another target was ordered", failed.Order("behind"), 1, list(former, behind, current), list(former, behind), "", "former", lease.WaitNone},
+		{"the new primary's zone is evacuated", failed, 1, list(former, behind, inZone("n", current)), list(former, behind), "n", "former", lease.WaitNone},
+		{"the former primary's zone is evacuated", failed, 1, list(inZone("n", former), behind, current), list(inZone("n", former), behind), "n", "", lease.WaitAnswers},
+		{"a target that an earlier leader promoted leads a later term", failed.Order("behind"), 1, list(former, behind, current), list(inTerm(3, leading(replicaAt("former", 9))), behind), "", "", lease.WaitAnswers},
+	} {
+		s := lease.Succession{Evacuated: func(zone string) bool { return zone != "" && zone == tc.evacuated }}
+		var targets []pollendoor.TargetInfo
+		for _, c := range tc.targets {
+			targets = append(targets, c.Target)
+		}
+		got := s.Next(tc.g, tc.syncReplicas, targets, tc.answers, second)
+		if got.Next.Target.ID != tc.want || got.Wait != tc.wait {
+			t.Errorf("%s: got %q (wait %q), want %q (wait %q)", tc.name, got.Next.Target.ID, got.Wait, tc.want, tc.wait)
+		}
+	}
+}
+
 // Guards against the loss of acknowledged commits with syncReplicas: a promotion passed over
 // a replica whose entry had left the store, one that only the former leader had seen, and one
 // that had started again without its log.
--- a/spec/promote.pml
+++ b/spec/promote.pml
@@ -19,6 +19,8 @@
  *   FOLLOWED   compares logs by the term that the target follows instead of the
  *              term of its last entry.
  *   NOBARRIER  serves before a replica has an entry of the new term.
+ *   FORMER     counts a target that still leads an older term as fenced, but does not
+ *              compare its log.
  */
 #ifndef MAXT
 #define MAXT 3 /* terms */
@@ -55,6 +57,14 @@
 byte t, r, i, k, best, common, count;
 byte bt, tt;
 
+/* Whether the log of a target is compared. Only then does the target count as one that has
+ * no acknowledged entry beyond those of the target that is promoted. */
+#ifdef FORMER
+#define COMPARED(t) (inset[t] && !lead[t])
+#else
+#define COMPARED(t) inset[t]
+#endif
+
 /* sets out to the term of the last entry of target x */
 inline lastterm(x, out) {
 	if
@@ -129,18 +139,21 @@
 			:: t == N -> break
 			:: else ->
 				if
-				:: inset[t] && best == 255 -> best = t
-				:: inset[t] && best != 255 ->
+				:: !COMPARED(t) -> skip
+				:: COMPARED(t) && best == 255 -> best = t
+				:: COMPARED(t) && best != 255 ->
 					lastterm(t, tt); lastterm(best, bt);
 					if
 					:: tt > bt || (tt == bt && size[t] > size[best]) -> best = t
 					:: else
 					fi
-				:: else
 				fi;
 				t++
 			od;
-			prim = best; branch[term] = size[best]; phase = 1
+			if
+			:: best != 255 -> prim = best; branch[term] = size[best]; phase = 1
+			:: else
+			fi
 		:: else
 		fi;
 		t = 0; best = 0; count = 0; tt = 0; bt = 0
--- a/spec/sync.pml
+++ b/spec/sync.pml
@@ -18,6 +18,8 @@
  *   LISTED     waits only for replicas that the store lists now.
  *   FORGETS    a new leader waits only for replicas that it has seen listed.
  *   REBORN     counts a replica as answered that has started again without its log.
+ *   FORMER     counts a target as answered that still leads an older term, but does not
+ *              compare its log.
  */
 #define N 3 /* targets */
 #ifndef MAXI
@@ -31,6 +33,7 @@
 byte log[N * (MAXI + 1)];
 byte size[N];
 byte fol[N];       /* term that the target leads or follows */
+bool lead[N];      /* the target leads that term, until it follows a later one */
 bool drains[N];
 bool deaf[N];      /* the target receives nothing */
 bool emptied[N];   /* the target leads a term but has restarted without its log */
@@ -72,6 +75,14 @@
 #define HASANSWERED(t) (answered[t] && !reborn[t])
 #endif
 
+/* Whether the log of a target is compared. Only then does the target count as one that has
+ * no acknowledged commit beyond those of the target that is promoted. */
+#ifdef FORMER
+#define COMPARED(t) (answered[t] && !lead[t])
+#else
+#define COMPARED(t) answered[t]
+#endif
+
 inline reset() {
 	t = 0;
 	do
@@ -87,7 +98,7 @@
 	:: t == N -> break
 	:: else ->
 		if
-		:: t == prim || !answered[t] -> skip
+		:: t == prim || !COMPARED(t) -> skip
 		:: else ->
 			if
 			:: best == 255 -> best = t
@@ -120,7 +131,7 @@
 #endif
 			t++
 		od;
-		t = 0
+		lead[0] = true; t = 0
 	}
 	do
 	/* The primary commits. */
@@ -132,7 +143,7 @@
 		:: t != prim && !deaf[t] && !emptied[prim] ->
 			if
 			:: fol[t] < term ->
-				fol[t] = term; i = 1;
+				fol[t] = term; lead[t] = false; i = 1;
 				do
 				:: i > MAXI -> break
 				:: else ->
@@ -182,7 +193,7 @@
 		select(t : 0 .. 2);
 		if
 		:: t != prim && !lost && !lostReplica ->
-			lostReplica = true; reborn[t] = true; fol[t] = 0; answered[t] = false;
+			lostReplica = true; reborn[t] = true; fol[t] = 0; lead[t] = false; answered[t] = false;
 			do
 			:: size[t] > 0 -> L(t, size[t]) = 0; size[t]--
 			:: else -> break
@@ -273,7 +284,7 @@
 			:: else -> reborn[t] = false; t++
 			od;
 			t = 0;
-			emptied[prim] = false; prim = best; term++; fol[prim] = term;
+			emptied[prim] = false; prim = best; term++; fol[prim] = term; lead[prim] = true;
 			released = false; asking = false; reset()
 		:: else -> skip
 		fi;
