lease: keep holders that are not listed when a group settles

One without an entry may hold the last commits of a primary that stays; a crash of that primary within the 15 s in which the replica is to be waited for would promote another one.

Change: HolderWatch.Settle keeps the holders of the record and those seen in the last 15 s, the former primary among them.

Test: TestHoldersAreKeptWhenAGroupSettles, of a new function. The former function, HoldersAfter, gave "b@1@h:3" in its first case, want "a@1@h:2 b@1@h:3".

--- a/fleet/failover.go
+++ b/fleet/failover.go
@@ -249,10 +249,9 @@
 			}
 			g = g.Order(c.Target.ID)
 		}
-		settled := g.Settle(c.Target.ID, term)
-		if v.syncReplicas(name) > 0 {
-			settled = settled.WithHolders(lease.HoldersAfter(c.Target.ID, v.targets.Group(name)))
-		}
+		ld.mu.Lock()
+		settled := ld.holders.Settle(name, g, c, term, v.syncReplicas(name), v.targets.Group(name), clock.Now())
+		ld.mu.Unlock()
 		if err := ld.updateGroup(ctx, name, g, settled); err != nil {
 			v.Log.Warn().Err(err).Str("group", name).Msg("successor not recorded")
 			return
--- a/lease/holders.go
+++ b/lease/holders.go
@@ -91,13 +91,14 @@
 	return NewHolders(list)
 }
 
-// HoldersAfter returns the holders of a group whose primary has just become another target.
-func HoldersAfter(primary string, listed []pollendoor.TargetInfo) Holders {
-	var list []Holder
-	for _, t := range listed {
-		if t.ID != primary {
-			list = append(list, holderOf(t))
-		}
+// Settle returns the state of a moving group whose primary from now on is the target of c, in
+// term t. If commits are acknowledged once replicas have received them, it names the holders.
+func (w *HolderWatch) Settle(group string, g Group, c Candidate, t pollendoor.Term, syncReplicas int, listed []pollendoor.TargetInfo, now time.Duration) Group {
+	settled := g.Settle(c.Target.ID, t)
+	if syncReplicas == 0 {
+		return settled
 	}
-	return NewHolders(list)
+	// Replicas that are not listed now may hold commits of a primary that stays, and may
+	// receive those of another one.
+	return settled.WithHolders(w.Next(group, settled.WithHolders(g.Holders), listed, now))
 }
--- a/lease/succession_test.go
+++ b/lease/succession_test.go
@@ -404,7 +404,7 @@
 	}
 	old, a, b := target("old", 1, "h:1"), target("a", 1, "h:2"), target("b", 1, "h:3")
 	reborn, heir := target("a", 2, "h:2"), target("c", 3, "h:2")
-	g := lease.Group{Epoch: 1, Primary: "old", Term: 1}.WithHolders(lease.HoldersAfter("old", []pollendoor.TargetInfo{old, a, b})).Move(false)
+	g := lease.Group{Epoch: 1, Primary: "old", Term: 1}.WithHolders(lease.NewHolders([]lease.Holder{{ID: "a", Born: 1, Addr: "h:2"}, {ID: "b", Born: 1, Addr: "h:3"}})).Move(false)
 	for _, tc := range []struct {
 		name    string
 		listed  []pollendoor.TargetInfo
@@ -461,3 +461,29 @@
 		t.Errorf("malformed words: got %+v, want the last one only", got)
 	}
 }
+
+// Guards against the loss of acknowledged commits: a new leader that gave a planned change up,
+// or settled a group on another primary, forgot the holders that the store did not list then.
+func TestHoldersAreKeptWhenAGroupSettles(t *testing.T) {
+	old, a, b := pollendoor.TargetInfo{ID: "old", Born: 1, Addr: "h:1"}, pollendoor.TargetInfo{ID: "a", Born: 1, Addr: "h:2"}, pollendoor.TargetInfo{ID: "b", Born: 1, Addr: "h:3"}
+	g := lease.Group{Epoch: 1, Primary: "old", Term: 1}.WithHolders("a@1@h:2 b@1@h:3").Move(true)
+	for _, tc := range []struct {
+		name         string
+		next         pollendoor.TargetInfo
+		term         pollendoor.Term
+		syncReplicas int
+		listed       []pollendoor.TargetInfo
+		want         lease.Holders
+	}{
+		{"the change is given up", old, 1, 1, []pollendoor.TargetInfo{old, b}, "a@1@h:2 b@1@h:3"},
+		{"another target leads", b, 2, 1, []pollendoor.TargetInfo{old, b}, "a@1@h:2 old@1@h:1"},
+		{"all are listed", a, 2, 1, []pollendoor.TargetInfo{old, a, b}, "b@1@h:3 old@1@h:1"},
+		{"without synchronous replicas", b, 2, 0, []pollendoor.TargetInfo{old, b}, ""},
+	} {
+		var w lease.HolderWatch // of a leader that has just claimed
+		got := w.Settle("g", g, lease.Candidate{Target: tc.next}, tc.term, tc.syncReplicas, tc.listed, time.Hour)
+		if got.Primary != tc.next.ID || got.Term != tc.term || got.Moving || got.Holders != tc.want {
+			t.Errorf("%s: got %+v, want the primary %s and the holders %q", tc.name, got, tc.next.ID, tc.want)
+		}
+	}
+}
