lease: require the log with which a primary's term began

With syncReplicas a promotion waited for replicas that may hold commits of the present term, never for the lost primary. If potes-2 was promoted with commits that it had received from potes-1, potes-1 left and potes-3 has received nothing, a crash of potes-2 promoted potes-3: commits of the earlier term were gone. The same holds if a holder was given up within a term, and for a former primary whose entry had lapsed when the group settled, which was no holder then.

Change: the record has the position of the primary's log when its term began, and raises it to what the primary has reached when a holder is left out (lease.Group.Start). A target with an older log is promoted only when neither the primary nor a holder can show a newer one. A former primary without an entry is recorded as a holder.

Two expectations of TestSuccessionWaitsForReplicasThatMayHoldCommits and TestSuccessionWaitsForRecordedHolders were too lax: they wanted a promotion although the old primary was listed and might answer with the commits of a replica that was given up. Both cases now want a wait, and the promotion once that entry is gone, too.

--- a/fleet/failover.go
+++ b/fleet/failover.go
@@ -326,22 +326,24 @@
 	return 0
 }
 
-// wantedHolders returns the holders that the record should name for a group that is not
-// moving. The caller holds mu.
-func (ld *leader) wantedHolders(name string, g lease.Group, now time.Duration) lease.Holders {
+// withHolders returns a group that is not moving with the holders that the record should name
+// for it. The caller holds mu.
+func (ld *leader) withHolders(name string, g lease.Group, now time.Duration) lease.Group {
 	if ld.vm.syncReplicas(name) == 0 {
-		return ""
+		g.Holders, g.Start = "", pollendoor.Position{}
+		return g
 	}
-	return ld.holders.Next(name, g, ld.vm.targets.Group(name), now)
+	newest, _ := ld.vm.positionRing(name).Newest()
+	return ld.holders.Next(name, g, ld.vm.targets.Group(name), newest.Position, now)
 }
 
 // recordHolders records which replicas of a group may hold acknowledged commits.
-func (ld *leader) recordHolders(ctx context.Context, name string, g lease.Group, holders lease.Holders) {
-	if err := ld.updateGroup(ctx, name, g, g.WithHolders(holders)); err != nil {
+func (ld *leader) recordHolders(ctx context.Context, name string, g, next lease.Group) {
+	if err := ld.updateGroup(ctx, name, g, next); err != nil {
 		ld.vm.Log.Warn().Err(err).Str("group", name).Msg("holders of commits not recorded")
 		return
 	}
-	ld.vm.Log.Info().Str("group", name).Str("holders", string(holders)).Msg("holders of commits recorded")
+	ld.vm.Log.Info().Str("group", name).Str("holders", string(next.Holders)).Stringer("start", next.Start).Msg("holders of commits recorded")
 }
 
 // callTime bounds the time from the confirmation of a leadership to the end of a promotion
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -497,8 +497,8 @@
 			ld.startTask(name, func(ctx context.Context) { ld.failOver(ctx, name, "taken over from an earlier holder") })
 			continue
 		}
-		if holders := ld.wantedHolders(name, g, now); holders != g.Holders {
-			ld.startTask(name, func(ctx context.Context) { ld.recordHolders(ctx, name, g, holders) })
+		if next := ld.withHolders(name, g, now); next != g {
+			ld.startTask(name, func(ctx context.Context) { ld.recordHolders(ctx, name, g, next) })
 			continue
 		}
 		if cause := ld.state.Suspect(name, ld.vm.targetEntry(g.Primary), now); cause != lease.CauseNone {
--- a/lease/holders.go
+++ b/lease/holders.go
@@ -60,10 +60,12 @@
 	lastListed map[string]map[Holder]time.Duration // by group, when a holder was last listed
 }
 
-// Next returns the holders that a group should have: those that are listed, and those that
-// were listed within lostTargetTimeout. Only the leader's own time counts, so that a new
-// leader keeps each holder at least as long.
-func (w *HolderWatch) Next(group string, g Group, listed []pollendoor.TargetInfo, now time.Duration) Holders {
+// Next returns a group with the holders that it should have: those that are listed, and those
+// that were listed within lostTargetTimeout. Only the leader's own time counts, so that a new
+// leader keeps each holder at least as long. Reached is a position that the log of the primary
+// has reached lately, zero if none is known. A holder that is left out may be the only replica
+// with commits up to it, so it becomes the start that others have to reach.
+func (w *HolderWatch) Next(group string, g Group, listed []pollendoor.TargetInfo, reached pollendoor.Position, now time.Duration) Group {
 	if w.lastListed == nil {
 		w.lastListed = make(map[string]map[Holder]time.Duration)
 	}
@@ -72,7 +74,8 @@
 		seen = make(map[Holder]time.Duration)
 		w.lastListed[group] = seen
 	}
-	for _, h := range g.Holders.List() {
+	recorded := g.Holders.List()
+	for _, h := range recorded {
 		if _, ok := seen[h]; !ok {
 			seen[h] = now
 		}
@@ -82,23 +85,36 @@
 	}
 	var list []Holder
 	for h, at := range seen {
-		if now-at >= lostTargetTimeout {
+		isRecorded := slices.Contains(recorded, h)
+		if now-at >= lostTargetTimeout && !(isRecorded && reached.IsZero()) {
 			delete(seen, h)
+			if isRecorded && reached.Newer(g.Start) {
+				g.Start = reached
+			}
 		} else if h.ID != g.Primary {
 			list = append(list, h)
 		}
 	}
-	return NewHolders(list)
+	return g.WithHolders(NewHolders(list))
 }
 
 // Settle returns the state of a moving group whose primary from now on is the target of c, in
-// term t. If commits are acknowledged once replicas have received them, it names the holders.
+// term t. If commits are acknowledged once replicas have received them, it names the holders and
+// the start of the term.
 func (w *HolderWatch) Settle(group string, g Group, c Candidate, t pollendoor.Term, syncReplicas int, listed []pollendoor.TargetInfo, now time.Duration) Group {
 	settled := g.Settle(c.Target.ID, t)
 	if syncReplicas == 0 {
 		return settled
 	}
+	settled.Start = c.position()
+	if c.Target.ID == g.Primary && t == g.Term {
+		settled.Start = g.Start
+	}
 	// Replicas that are not listed now may hold commits of a primary that stays, and may
-	// receive those of another one.
-	return settled.WithHolders(w.Next(group, settled.WithHolders(g.Holders), listed, now))
+	// receive those of another one. So may the former primary, whichever process it is.
+	holders := g.Holders.List()
+	if g.Primary != "" && !slices.ContainsFunc(listed, func(t pollendoor.TargetInfo) bool { return t.ID == g.Primary }) {
+		holders = append(holders, Holder{ID: g.Primary})
+	}
+	return w.Next(group, settled.WithHolders(NewHolders(holders)), listed, c.position(), now)
 }
--- a/lease/proof.go
+++ b/lease/proof.go
@@ -33,6 +33,7 @@
 			}
 		case s.away(c.Target):
 		case s.lostLog(g, c) && now < s.started+lostTargetTimeout:
+			s.primaryLost = s.primaryLost || c.Target.ID == g.Primary
 		default:
 			logs = append(logs, c)
 		}
@@ -50,7 +51,7 @@
 // holders it does not.
 func (s *Succession) noteListed(g Group, targets []pollendoor.TargetInfo, now time.Duration) {
 	if s.listed == nil {
-		s.started, s.listed = now, make(map[Holder]time.Duration)
+		s.started, s.primaryListed, s.listed = now, now, make(map[Holder]time.Duration)
 	}
 	for _, h := range g.Holders.List() {
 		if _, ok := s.listed[h]; !ok {
@@ -59,15 +60,37 @@
 	}
 	for _, t := range targets {
 		s.listed[holderOf(t)] = now
+		if t.ID == g.Primary {
+			s.primaryListed = now
+		}
 	}
 }
 
+// awaited returns why a target, the newest of logs, may lack acknowledged commits that another
+// target may still show, or WaitNone. Commits since the record's Start have been received by
+// syncReplicas of the holders. Those up to it are in the log of the primary, and it may be that
+// no replica has followed it yet.
+func (s *Succession) awaited(g Group, syncReplicas int, next Candidate, logs []Candidate, now time.Duration) Wait {
+	if syncReplicas == 0 {
+		return WaitNone
+	}
+	unanswered, lost := s.unanswered(g, logs, now)
+	mayShow := unanswered > 0 || !s.primaryLost && now-s.primaryListed < lostTargetTimeout
+	switch {
+	case mayShow && unanswered+lost >= syncReplicas:
+		return WaitAnswers
+	case mayShow && g.Start.Newer(next.position()):
+		return WaitStart
+	}
+	return WaitNone
+}
+
 // unanswered returns the number of replicas of the old primary that may hold acknowledged
-// commits, whose logs are not among those that count, and that are not given up. The answer
-// of a process that started later under the same ID says nothing of the one before. One at
-// the same address under another ID has received the log of a target that was drained.
-func (s *Succession) unanswered(g Group, logs []Candidate, now time.Duration) int {
-	n := 0
+// commits, whose logs are not among those that count, and that are not given up, and the number
+// of those that are. The answer of a process that started later under the same ID says nothing
+// of the one before. One at the same address under another ID has received the log of a target
+// that was drained.
+func (s *Succession) unanswered(g Group, logs []Candidate, now time.Duration) (awaited, lost int) {
 	for h, listedAt := range s.listed {
 		answered := slices.ContainsFunc(logs, func(c Candidate) bool {
 			if c.position().IsZero() && !s.Known.IsZero() {
@@ -75,9 +98,13 @@
 			}
 			return h.isProcess(c.Target) || c.Target.ID != h.ID && c.Target.Addr == h.Addr && h.Addr != ""
 		})
-		if h.ID != g.Primary && !answered && now-listedAt < lostTargetTimeout {
-			n++
+		switch {
+		case h.ID == g.Primary || answered:
+		case now-listedAt < lostTargetTimeout:
+			awaited++
+		default:
+			lost++
 		}
 	}
-	return n
+	return awaited, lost
 }
--- a/lease/record.go
+++ b/lease/record.go
@@ -86,6 +86,11 @@
 	// Holders is kept only for groups whose commits are acknowledged once replicas have
 	// received them.
 	Holders Holders `json:"holders,omitempty" cbor:"7,keyasint,omitempty"`
+	// Start is the position that a log must have reached besides: that of the primary's log
+	// when its term began, or when a holder was left out. Acknowledged commits that the
+	// present holders need not have received are up to it. It is kept only for the same groups
+	// as Holders.
+	Start pollendoor.Position `json:"start,omitzero" cbor:"8,keyasint,omitzero"`
 }
 
 // Record is the state that the fleet agrees on. Every write increments Version.
--- a/lease/succession.go
+++ b/lease/succession.go
@@ -42,6 +42,7 @@
 	WaitNone    Wait = ""
 	WaitReplica Wait = "no target answers that can be promoted"
 	WaitAnswers Wait = "a replica that may hold acknowledged commits has not answered"
+	WaitStart   Wait = "no target that answers has the log with which the primary's term began"
 	WaitPrimary Wait = "the old primary has not answered"
 	WaitCatchUp Wait = "no replica has received the whole log"
 	WaitZones   Wait = "all targets are in evacuated zones"
@@ -77,6 +78,9 @@
 
 	started time.Duration            // time of the first call of Next
 	listed  map[Holder]time.Duration // when a target was last listed
+	// primaryListed is when the old primary was last listed, or started.
+	primaryListed time.Duration
+	primaryLost   bool // the old primary has answered without its log
 	// whole is the position of the old primary's log after its release, zero if that is
 	// not known. No later entry belongs to an acknowledged commit.
 	whole pollendoor.Position
@@ -122,8 +126,11 @@
 	switch {
 	case !ok:
 		return Choice{Wait: WaitReplica}
-	case !hasWhole && syncReplicas > 0 && s.unanswered(g, logs, now) >= syncReplicas:
-		return Choice{Wait: WaitAnswers}
+	case hasWhole:
+		return Choice{Next: next, Promote: true}
+	}
+	if wait := s.awaited(g, syncReplicas, next, logs, now); wait != WaitNone {
+		return Choice{Wait: wait}
 	}
 	return Choice{Next: next, Promote: true}
 }
@@ -165,8 +172,8 @@
 	case s.MayAsk && g.Planned && now < s.started+primaryAnswerTimeout:
 		return Choice{Wait: WaitPrimary}
 	case syncReplicas > 0:
-		if s.unanswered(g, logs, now) >= syncReplicas {
-			return Choice{Wait: WaitAnswers}
+		if wait := s.awaited(g, syncReplicas, next, logs, now); wait != WaitNone {
+			return Choice{Wait: wait}
 		}
 	case s.asked || !g.Planned:
 		// The primary does not answer, as in a replacement without an evacuation.
--- a/lease/succession_test.go
+++ b/lease/succession_test.go
@@ -210,14 +210,21 @@
 		}
 	}
 
-	t.Run("a target without an entry is given up in the end", func(t *testing.T) {
+	t.Run("targets without entries are given up in the end", func(t *testing.T) {
 		var s lease.Succession
 		s.Next(moving, 1, targets("old", "a", "b"), nil, second)
 		for _, step := range []struct {
 			seconds int64
+			listed  []pollendoor.TargetInfo
 			wait    lease.Wait
-		}{{7, lease.WaitAnswers}, {15, lease.WaitAnswers}, {17, lease.WaitNone}} {
-			got := s.Next(moving, 1, targets("old", "a"), answers(replicaAt("a", 5)), time.Duration(step.seconds)*second)
+		}{
+			{7, targets("old", "a"), lease.WaitAnswers},
+			{15, targets("old", "a"), lease.WaitAnswers},
+			{17, targets("old", "a"), lease.WaitAnswers}, // the old primary may have the commits, too
+			{31, targets("a"), lease.WaitAnswers},
+			{33, targets("a"), lease.WaitNone},
+		} {
+			got := s.Next(moving, 1, step.listed, answers(replicaAt("a", 5)), time.Duration(step.seconds)*second)
 			if got.Wait != step.wait {
 				t.Errorf("after %d s: got wait %q, want %q", step.seconds, got.Wait, step.wait)
 			}
@@ -415,7 +422,8 @@
 	}{
 		{"all answer", []pollendoor.TargetInfo{old, a, b}, []lease.Candidate{answer(a, 9), answer(b, 5)}, 0, "a", lease.WaitNone},
 		{"the entry of one has left the store", []pollendoor.TargetInfo{old, b}, []lease.Candidate{answer(b, 5)}, 0, "", lease.WaitAnswers},
-		{"it does not come back", []pollendoor.TargetInfo{old, b}, []lease.Candidate{answer(b, 5)}, 15 * time.Second, "b", lease.WaitNone},
+		{"it does not come back", []pollendoor.TargetInfo{old, b}, []lease.Candidate{answer(b, 5)}, 15 * time.Second, "", lease.WaitAnswers},
+		{"nor does the old primary", []pollendoor.TargetInfo{b}, []lease.Candidate{answer(b, 5)}, 15 * time.Second, "b", lease.WaitNone},
 		{"one has started again", []pollendoor.TargetInfo{old, reborn, b}, []lease.Candidate{answer(reborn, 2), answer(b, 5)}, 0, "", lease.WaitAnswers},
 		{"one has started again, its entry is not known yet", []pollendoor.TargetInfo{old, a, b}, []lease.Candidate{answer(a, 0), answer(b, 5)}, 0, "", lease.WaitAnswers},
 		{"one was drained, and another has its log", []pollendoor.TargetInfo{old, heir, b}, []lease.Candidate{answer(heir, 9), answer(b, 5)}, 0, "c", lease.WaitNone},
@@ -448,13 +456,13 @@
 		{"it starts again", 3 * time.Second, []pollendoor.TargetInfo{primary, reborn, b}, "a@1@h:1 a@2@h:1 b@1@h:2"},
 		{"its former process is given up", 16 * time.Second, []pollendoor.TargetInfo{primary, reborn, b}, "a@2@h:1 b@1@h:2"},
 	} {
-		if got := w.Next("g", g, tc.listed, tc.at); got != tc.want {
+		if got := w.Next("g", g, tc.listed, pollendoor.Position{}, tc.at).Holders; got != tc.want {
 			t.Errorf("%s: got %q, want %q", tc.name, got, tc.want)
 		}
 	}
 	var next lease.HolderWatch // of the next leader, which has never seen a
 	g = g.WithHolders("a@1@h:1 b@1@h:2")
-	if got, want := next.Next("g", g, []pollendoor.TargetInfo{primary, b}, time.Hour), g.Holders; got != want {
+	if got, want := next.Next("g", g, []pollendoor.TargetInfo{primary, b}, pollendoor.Position{}, time.Hour).Holders, g.Holders; got != want {
 		t.Errorf("another leader: got %q, want %q", got, want)
 	}
 	if got := lease.Holders("a@x@h a b@2@h:1").List(); len(got) != 1 || got[0] != (lease.Holder{ID: "b", Born: 2, Addr: "h:1"}) {
@@ -477,6 +485,7 @@
 	}{
 		{"the change is given up", old, 1, 1, []pollendoor.TargetInfo{old, b}, "a@1@h:2 b@1@h:3"},
 		{"another target leads", b, 2, 1, []pollendoor.TargetInfo{old, b}, "a@1@h:2 old@1@h:1"},
+		{"another target leads, the former primary is not listed", b, 2, 1, []pollendoor.TargetInfo{b}, "a@1@h:2 old@0@"},
 		{"all are listed", a, 2, 1, []pollendoor.TargetInfo{old, a, b}, "b@1@h:3 old@1@h:1"},
 		{"without synchronous replicas", b, 2, 0, []pollendoor.TargetInfo{old, b}, ""},
 	} {
--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -36,6 +36,7 @@
 		{"sync", "LISTED"},
 		{"sync", "FORGETS"},
 		{"sync", "REBORN"},
+		{"sync", "NOSTART"},
 		{"sync", "FORMER"},
 		{"escrow", ""},
 		{"escrow", "LATESUBTRACT"},
--- a/spec/sync.pml
+++ b/spec/sync.pml
@@ -18,6 +18,8 @@
  *   LISTED     waits only for replicas that the store lists now.
  *   FORGETS    a new leader waits only for replicas that it has seen listed.
  *   REBORN     counts a replica as answered that has started again without its log.
+ *   NOSTART    promotes a target without the log with which the term began, or that the
+ *              primary had when a holder was given up.
  *   FORMER     counts a target as answered that still leads an older term, but does not
  *              compare its log.
  */
@@ -38,7 +40,9 @@
 bool deaf[N];      /* the target receives nothing */
 bool emptied[N];   /* the target leads a term but has restarted without its log */
 bool reborn[N];    /* the replica has started again without its log in this term */
-bool lostReplica = false; /* a replica has lost its log */
+bool left[N];      /* the target has left for good, and is given up */
+bool lostReplica = false; /* a replica has lost its log or has left */
+byte startSize = 0, startTerm = 0; /* start of the term in the record */
 bool lost = false; /* a log was lost: another failure could take the last copy of a commit */
 byte acked[MAXI + 1]; /* term of the entry acknowledged at an index */
 
@@ -61,12 +65,12 @@
 bool known[N];  /* the leader that asks has seen the target listed */
 #endif
 #ifdef LISTED
-#define AWAITED(t) listed[t]
+#define AWAITED(t) (listed[t] && !left[t])
 #else
 #ifdef FORGETS
-#define AWAITED(t) known[t]
+#define AWAITED(t) (known[t] && !left[t])
 #else
-#define AWAITED(t) true /* the record names all replicas of the term */
+#define AWAITED(t) (!left[t]) /* the record names all replicas of the term */
 #endif
 #endif
 #ifdef REBORN
@@ -83,6 +87,14 @@
 #define COMPARED(t) answered[t]
 #endif
 
+/* Whether the chosen target has the log from which on the holders count. The primary may
+ * have it otherwise, unless it has lost it. */
+#ifdef NOSTART
+#define ATSTART true
+#else
+#define ATSTART (emptied[prim] || seenTerm[best] > startTerm || (seenTerm[best] == startTerm && seen[best] >= startSize))
+#endif
+
 inline reset() {
 	t = 0;
 	do
@@ -140,7 +152,7 @@
 	:: atomic {
 		select(t : 0 .. 2);
 		if
-		:: t != prim && !deaf[t] && !emptied[prim] ->
+		:: t != prim && !deaf[t] && !left[t] && !emptied[prim] ->
 			if
 			:: fol[t] < term ->
 				fol[t] = term; lead[t] = false; i = 1;
@@ -170,7 +182,7 @@
 		!released ->
 		select(t : 0 .. 2);
 		if
-		:: t != prim && fol[t] == term && size[t] > 0 && L(t, size[t]) == term && size[prim] >= size[t] ->
+		:: t != prim && !left[t] && fol[t] == term && size[t] > 0 && L(t, size[t]) == term && size[prim] >= size[t] ->
 			i = 1;
 			do
 			:: i > size[t] -> break
@@ -193,11 +205,16 @@
 		select(t : 0 .. 2);
 		if
 		:: t != prim && !lost && !lostReplica ->
-			lostReplica = true; reborn[t] = true; fol[t] = 0; lead[t] = false; answered[t] = false;
+			lostReplica = true; fol[t] = 0; lead[t] = false; answered[t] = false;
 			do
 			:: size[t] > 0 -> L(t, size[t]) = 0; size[t]--
 			:: else -> break
-			od
+			od;
+			/* Or it leaves for good, and the record names it no longer. */
+			if
+			:: reborn[t] = true
+			:: !asking -> left[t] = true; startSize = size[prim]; startTerm = L(prim, size[prim])
+			fi
 		:: else -> skip
 		fi;
 		t = 0
@@ -237,7 +254,10 @@
 	:: atomic {
 		asking ->
 		select(t : 0 .. 2);
-		answered[t] = true; seen[t] = size[t]; seenTerm[t] = L(t, size[t]);
+		if
+		:: !left[t] -> answered[t] = true; seen[t] = size[t]; seenTerm[t] = L(t, size[t])
+		:: else -> skip
+		fi;
 		t = 0
 	}
 	/* The leader chooses and the target leads the next term with what it has. */
@@ -269,7 +289,7 @@
 #ifdef CATCHUP
 		:: best != 255 && (missing < 1 || proof) ->
 #else
-		:: best != 255 && (missing < 1 || (proof && (seenTerm[best] > seenTerm[prim] || (seenTerm[best] == seenTerm[prim] && seen[best] >= seen[prim])))) ->
+		:: best != 255 && ((missing < 1 && ATSTART) || (proof && (seenTerm[best] > seenTerm[prim] || (seenTerm[best] == seenTerm[prim] && seen[best] >= seen[prim])))) ->
 #endif
 #endif
 			i = 1;
@@ -285,6 +305,7 @@
 			od;
 			t = 0;
 			emptied[prim] = false; prim = best; term++; fol[prim] = term; lead[prim] = true;
+			startSize = seen[prim]; startTerm = seenTerm[prim];
 			released = false; asking = false; reset()
 		:: else -> skip
 		fi;
