lease: await a later primary that the record may have forgotten

A claim on an older copy of the store may find a record from before a promotion. If the primary of that record still says that it leads, it was used at once, although the later primary was frozen and would go on with its own term. The same was done with a group that the record does not name at all. A primary was also used although another target follows a later term, as after a promotion call that arrives late.

Change: the groups of such a claim are unsure until they settle. A primary is used only if no answer and no VM knows of a later term, each listed target that claims to lead has answered, and with syncReplicas enough replicas have. A primary with a later one behind it is a candidate by its log. Unrecorded does the same for groups that the record does not name.

Tests: with the decisions of before, TestForgottenPrimaryIsAwaited fails in 5 of 9 cases and TestUnrecorded in 2 of 6.

--- a/fleet/failover.go
+++ b/fleet/failover.go
@@ -125,20 +125,20 @@
 func (ld *leader) recordNewGroups(ctx context.Context, names []string) {
 	v := ld.vm
 	primaries := iter.Mapper[string, *lease.Candidate]{MaxGoroutines: maxNewGroups}.Map(names, func(name *string) *lease.Candidate {
-		var best *lease.Candidate
-		for _, c := range v.targetStatuses(ctx, v.targets.Group(*name)) {
-			if c.Status.Role == pollendoor.Primary && (best == nil || c.Status.Term > best.Status.Term) {
-				best = &c
-			}
+		targets := v.targets.Group(*name)
+		if c, ok := lease.Unrecorded(targets, v.targetStatuses(ctx, targets)); ok {
+			return &c
 		}
-		return best
+		return nil
 	})
 	groups := make(map[string]lease.Group, len(names))
-	for i, best := range primaries {
-		if best != nil {
-			groups[names[i]] = lease.Group{}.Settle(best.Target.ID, best.Status.Term)
+	ld.mu.Lock()
+	for i, c := range primaries {
+		if name := names[i]; c != nil {
+			groups[name] = ld.holders.Settle(name, lease.Group{}, *c, c.Status.Term, v.syncReplicas(name), v.targets.Group(name), clock.Now())
 		}
 	}
+	ld.mu.Unlock()
 	if len(groups) > 0 {
 		err := ld.updateRecord(ctx, func(r lease.Record) (lease.Record, bool) { return r.WithGroups(groups), true })
 		if err != nil {
--- a/lease/proof.go
+++ b/lease/proof.go
@@ -18,14 +18,27 @@
 //   - The target is in an evacuated zone and must not be promoted.
 //   - The target has lost its log. It may be promoted if no other target returns in time.
 //   - The target leads the record's term or a later one. Then it is whole, the target with
-//     every acknowledged commit, and leading if it may be used as it is.
+//     every acknowledged commit, and leading if it may be used as it is. If another target
+//     knows of a later term, it is not leading, and its log counts. It is not whole either if
+//     the record may have forgotten that term.
 func (s *Succession) sort(g Group, answers []Candidate, now time.Duration) (whole, leading *Candidate, logs []Candidate) {
+	newest := newestTerm(answers)
+	if g.Unsure {
+		newest = max(newest, s.Known.Term)
+	}
 	for _, c := range answers {
+		superseded := c.Status.Term < newest
 		switch {
-		case c.Status.Role == pollendoor.Primary && c.Status.Term >= g.Term:
+		case c.Status.Role == pollendoor.Primary && c.Status.Term >= g.Term && !(superseded && g.Unsure):
 			if whole == nil || c.Status.Term > whole.Status.Term {
 				whole = &c
 			}
+			if superseded {
+				if !s.away(c.Target) {
+					logs = append(logs, c)
+				}
+				continue
+			}
 			// The promotion of another target that was ordered may take effect later.
 			mayBeSuperseded := g.Ordered != "" && (c.Status.Term == g.Term || g.Ordered != c.Target.ID && !s.OrdersEnded)
 			if !mayBeSuperseded && (leading == nil || c.Status.Term > leading.Status.Term) {
@@ -41,6 +54,34 @@
 	return whole, leading, logs
 }
 
+// newestTerm returns the newest term that a target leads or follows.
+func newestTerm(answers []Candidate) pollendoor.Term {
+	var newest pollendoor.Term
+	for _, c := range answers {
+		newest = max(newest, c.Status.Term)
+	}
+	return newest
+}
+
+// rival reports whether a target that has not answered claims to be a primary, besides c.
+func rival(c Candidate, targets []pollendoor.TargetInfo, answers []Candidate) bool {
+	return slices.ContainsFunc(targets, func(t pollendoor.TargetInfo) bool {
+		return t.Primary && t.ID != c.Target.ID && !slices.ContainsFunc(answers, func(a Candidate) bool { return a.Target.ID == t.ID })
+	})
+}
+
+// Unrecorded returns the primary of a group that the record does not name: the target that
+// leads the newest term of all. It reports false if a later primary may exist, because a target
+// follows a later term, or because another target claims to be a primary and has not answered.
+func Unrecorded(targets []pollendoor.TargetInfo, answers []Candidate) (Candidate, bool) {
+	for _, c := range answers {
+		if c.Status.Role == pollendoor.Primary && c.Status.Term == newestTerm(answers) {
+			return c, !rival(c, targets, answers)
+		}
+	}
+	return Candidate{}, false
+}
+
 // lostLog reports whether a target has started again without its log.
 func (s *Succession) lostLog(g Group, c Candidate) bool {
 	// The log of the record's primary may not be in an older term than the record.
--- a/lease/proof_test.go
+++ b/lease/proof_test.go
@@ -174,3 +174,94 @@
 		}
 	})
 }
+
+// Guards against the use of a superseded primary: after the store has come back from an older
+// copy, the record names it, and the later primary or those that follow it don't answer.
+func TestForgottenPrimaryIsAwaited(t *testing.T) {
+	inTerm := func(term pollendoor.Term, c lease.Candidate) lease.Candidate {
+		c.Status.Term = term
+		return c
+	}
+	claims := func(c lease.Candidate) lease.Candidate {
+		c.Target.Primary = true
+		return c
+	}
+	old, later := claims(leading(replicaAt("old", 9))), claims(inTerm(2, leading(replicaAt("later", 9))))
+	other, follows := replicaAt("other", 9), inTerm(2, replicaAt("other", 9))
+	var record lease.Record
+	record.Groups = map[string]lease.Group{"g": {Epoch: 1, Primary: "old", Term: 1}}
+	forgotten := record.InEra(2).Groups["g"]
+	known := lease.Group{Epoch: 1, Primary: "old", Term: 1}.Move(false)
+	list := func(c ...lease.Candidate) []lease.Candidate { return c }
+	for _, tc := range []struct {
+		name         string
+		g            lease.Group
+		syncReplicas int
+		targets      []lease.Candidate
+		answers      []lease.Candidate
+		known        pollendoor.Position
+		want         string
+		promote      bool
+		wait         lease.Wait
+	}{
+		{"the later primary is frozen", forgotten, 0, list(old, later, other), list(old, other), pollendoor.Position{}, "", false, lease.WaitRival},
+		{"its entry is gone", forgotten, 0, list(old, other), list(old, other), pollendoor.Position{}, "old", false, lease.WaitNone},
+		{"a replica follows it", forgotten, 0, list(old, other), list(old, follows), pollendoor.Position{}, "old", true, lease.WaitNone},
+		{"VMs have seen it", forgotten, 0, list(old, other), list(old, other), pollendoor.Position{Term: 2, Index: 9}, "old", true, lease.WaitNone},
+		{"one synchronous replica, which is away", forgotten, 1, list(old, other), list(old), pollendoor.Position{}, "", false, lease.WaitRival},
+		{"one synchronous replica, which follows no later term", forgotten, 1, list(old, other), list(old, other), pollendoor.Position{}, "old", false, lease.WaitNone},
+		{"the later primary answers", forgotten, 1, list(old, later, other), list(old, later, other), pollendoor.Position{}, "later", false, lease.WaitNone},
+		{"nothing was forgotten", known, 0, list(old, later, other), list(old, other), pollendoor.Position{}, "old", false, lease.WaitNone},
+		{"a late promotion has taken effect", known, 0, list(old, other), list(old, follows), pollendoor.Position{}, "old", true, lease.WaitNone},
+	} {
+		s := lease.Succession{Known: tc.known}
+		var targets []pollendoor.TargetInfo
+		for _, c := range tc.targets {
+			targets = append(targets, c.Target)
+		}
+		got := s.Next(tc.g, tc.syncReplicas, targets, tc.answers, second)
+		if got.Next.Target.ID != tc.want || got.Promote != tc.promote || got.Wait != tc.wait {
+			t.Errorf("%s: got %q (promote %t, wait %q), want %q (promote %t, wait %q)", tc.name, got.Next.Target.ID, got.Promote, got.Wait, tc.want, tc.promote, tc.wait)
+		}
+	}
+	if g := forgotten.Settle("old", 1); g.Unsure {
+		t.Errorf("a group that has settled: got %+v, want it sure", g)
+	}
+}
+
+// Guards against the use of a former primary in a group that the record does not name, while
+// the primary of a later term does not answer.
+func TestUnrecorded(t *testing.T) {
+	inTerm := func(term pollendoor.Term, c lease.Candidate) lease.Candidate {
+		c.Status.Term = term
+		return c
+	}
+	old, later := leading(replicaAt("old", 9)), inTerm(2, leading(replicaAt("later", 9)))
+	later.Target.Primary, old.Target.Primary = true, true
+	other, follows := replicaAt("other", 9), inTerm(2, replicaAt("other", 9))
+	list := func(c ...lease.Candidate) []lease.Candidate { return c }
+	for _, tc := range []struct {
+		name             string
+		targets, answers []lease.Candidate
+		want             string
+	}{
+		{"all answer", list(old, later, other), list(old, later, other), "later"},
+		{"only the primary answers", list(old, other), list(old), "old"},
+		{"the later primary does not answer", list(old, later, other), list(old, other), ""},
+		{"its entry is gone, a replica follows it", list(old, other), list(old, follows), ""},
+		{"no primary", list(old, other), list(other), ""},
+		{"nobody", list(old, other), nil, ""},
+	} {
+		var targets []pollendoor.TargetInfo
+		for _, c := range tc.targets {
+			targets = append(targets, c.Target)
+		}
+		got, ok := lease.Unrecorded(targets, tc.answers)
+		if !ok {
+			got = lease.Candidate{}
+		}
+		if got.Target.ID != tc.want {
+			t.Errorf("%s: got %q, want %q", tc.name, got.Target.ID, tc.want)
+		}
+	}
+}
--- a/lease/record.go
+++ b/lease/record.go
@@ -91,6 +91,9 @@
 	// present holders need not have received are up to it. It is kept only for the same groups
 	// as Holders.
 	Start pollendoor.Position `json:"start,omitzero" cbor:"8,keyasint,omitzero"`
+	// Unsure is set if the record may have forgotten a later primary, as it is of an older copy
+	// of the store. A group that settles is sure again.
+	Unsure bool `json:"unsure,omitempty" cbor:"9,keyasint,omitempty"`
 }
 
 // Record is the state that the fleet agrees on. Every write increments Version.
@@ -147,6 +150,7 @@
 	}
 	r.Era, r.Groups = era, maps.Clone(r.Groups)
 	for name, g := range r.Groups {
+		g.Unsure = true
 		r.Groups[name] = g.Move(false)
 	}
 	return r
--- a/lease/succession.go
+++ b/lease/succession.go
@@ -43,6 +43,7 @@
 	WaitReplica Wait = "no target answers that can be promoted"
 	WaitAnswers Wait = "a replica that may hold acknowledged commits has not answered"
 	WaitStart   Wait = "no target that answers has the log with which the primary's term began"
+	WaitRival   Wait = "another target may lead a later term that the record has forgotten"
 	WaitPrimary Wait = "the old primary has not answered"
 	WaitCatchUp Wait = "no replica has received the whole log"
 	WaitZones   Wait = "all targets are in evacuated zones"
@@ -100,6 +101,13 @@
 			staying = append(staying, c)
 		}
 	}
+	if leading != nil && g.Unsure {
+		// A later primary, or a replica that follows it, may not have answered.
+		n, _ := s.unanswered(g, append(slices.Clone(logs), *leading), now)
+		if rival(*leading, targets, answers) || syncReplicas > 0 && n >= syncReplicas {
+			return Choice{Wait: WaitRival}
+		}
+	}
 	if leading != nil && !s.away(leading.Target) && (!leading.Target.Draining || len(logs) == 0) {
 		return Choice{Next: *leading}
 	}
