lease, fleet: check a primary that has started again before it is used

Cause: the position that guards reads was only in the memory of the home VM, and the record named the primary's id, not its process. It was replaced only once no read had succeeded for 0.35 s, although it refused writes.

Change: the record has the primary's process; VMs don't use a later one, and the leader has it checked. The choice of the next primary knows a primary without its log by the positions that VMs have seen in its term, by the start of its term and by its replicas. READONLY and a lost log count from the last success before them, also while reads of other VMs succeed. A home VM without a position of its own takes the newest one that any VM has read in the primary's term.

TestNext had primaries with an empty log beside replicas with entries, which now means a lost log; they have a log in these cases, and three cases of empty logs replace the one there was.

--- a/fleet/cluster.go
+++ b/fleet/cluster.go
@@ -68,6 +68,8 @@
 			primary.TakeoverIn = v.takeoverIn(group, now)
 		}
 		return primary, pollendoor.PrimaryMoving
+	case g.Restarted(t):
+		return primary, pollendoor.PrimaryMoving // the leader has it checked
 	case known && evacuations.Use(t.Zone, true, now) != evac.UseAll:
 		if evacuations.Evacuated(t.Zone) {
 			return primary, pollendoor.PrimaryEvacuated
--- a/fleet/health.go
+++ b/fleet/health.go
@@ -66,7 +66,9 @@
 		h.lostLog = true
 	default:
 		h.failingSince, h.connRefused = 0, false
-		h.lastOK = max(h.lastOK, sent)
+		if !h.demoted && !h.lostLog { // otherwise only reads succeed
+			h.lastOK = max(h.lastOK, sent)
+		}
 		if !r.Position.IsZero() && l.Holds(t.Group, g.Epoch, now) {
 			s := sample.Sample{Since: sent, Position: r.Position}
 			v.positionRing(t.Group).Add(s)
@@ -87,10 +89,14 @@
 	h := v.primaryHealth(t.Group)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.epoch != g.Epoch {
-		return pollendoor.Position{}
+	if h.epoch == g.Epoch && !h.newestSample.Position.IsZero() {
+		return h.newestSample.Position
+	}
+	// Another home VM has read it. Entries of an earlier term may have been rolled back.
+	if s, ok := v.positionRing(t.Group).Newest(); ok && s.Position.Term == g.Term {
+		return s.Position
 	}
-	return h.newestSample.Position
+	return pollendoor.Position{}
 }
 
 // report returns what a heartbeat reports to the leader about a group's primary. It
--- a/lease/holders.go
+++ b/lease/holders.go
@@ -99,10 +99,11 @@
 }
 
 // Settle returns the state of a moving group whose primary from now on is the target of c, in
-// term t. If commits are acknowledged once replicas have received them, it names the holders and
-// the start of the term.
+// term t. It names the primary's process and, if commits are acknowledged once replicas have
+// received them, the holders and the start of the term.
 func (w *HolderWatch) Settle(group string, g Group, c Candidate, t pollendoor.Term, syncReplicas int, listed []pollendoor.TargetInfo, now time.Duration) Group {
 	settled := g.Settle(c.Target.ID, t)
+	settled.Born = c.Target.Born
 	if syncReplicas == 0 {
 		return settled
 	}
--- a/lease/leader.go
+++ b/lease/leader.go
@@ -488,6 +488,7 @@
 	CauseGone      Cause = "the primary has left"
 	CauseDraining  Cause = "the primary is about to leave"
 	CauseReborn    Cause = "the primary started anew without its log"
+	CauseRestarted Cause = "the primary has started again and may lack its log"
 	CauseEvacuated Cause = "the primary's zone is being evacuated"
 )
 
@@ -511,6 +512,9 @@
 	if entry.Missing == 0 && entry.Target.Draining {
 		return CauseDraining
 	}
+	if entry.Missing == 0 && g.Restarted(entry.Target) {
+		return CauseRestarted
+	}
 	var lastOK time.Duration
 	failing, refused, demoted, lostLog := false, false, false, false
 	for name := range l.reporters[group] {
@@ -519,22 +523,25 @@
 		if !ok || r.Epoch != g.Epoch || now-m.lastHeartbeat > heartbeatMaxAge {
 			continue
 		}
+		var succeeded time.Duration
 		if r.OKAge >= 0 {
-			lastOK = max(lastOK, m.lastHeartbeat-r.OKAge)
+			succeeded = m.lastHeartbeat - r.OKAge
 		}
+		lastOK = max(lastOK, succeeded)
 		failing = failing || r.Failing > 0
 		refused = refused || r.Refused
-		demoted = demoted || r.Demoted
-		lostLog = lostLog || r.LostLog
+		// Reads of other members may succeed all the while.
+		demoted = demoted || r.Demoted && now-succeeded > refusedTimeout
+		lostLog = lostLog || r.LostLog && now-succeeded > refusedTimeout
 	}
 	if now < l.Claimed+firstReportsTime && !l.AllMembersReported() {
 		return CauseNone // some members may have reached the primary
 	}
 	silent := now - lastOK
 	switch {
-	case lostLog && silent > refusedTimeout:
+	case lostLog:
 		return CauseReborn
-	case demoted && silent > refusedTimeout:
+	case demoted:
 		return CauseDemoted
 	case refused && silent > refusedTimeout:
 		return CauseRefused
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -16,7 +16,7 @@
 func record(members ...string) lease.Record {
 	return lease.Record{
 		Version: 1, Token: 1, Leader: members[0], Members: members,
-		Groups: map[string]lease.Group{"g": {Epoch: 1, Primary: "p", Term: 1}},
+		Groups: map[string]lease.Group{"g": {Epoch: 1, Primary: "p", Term: 1, Born: 7}},
 	}
 }
 
@@ -348,6 +348,17 @@
 		{"silent for a short time", report(lease.Report{OKAge: second / 2, Failing: second / 2}), entry, lease.CauseNone},
 		{"refuses connections", report(lease.Report{OKAge: second / 2, Failing: second / 2, Refused: true}), entry, lease.CauseRefused},
 		{"demoted", report(lease.Report{OKAge: second / 2, Demoted: true}), entry, lease.CauseDemoted},
+		{"demoted, and reads of another VM succeed", func(d *lease.Leader) {
+			report(lease.Report{OKAge: second / 2, Demoted: true})(d)
+			d.ReceiveHeartbeat(lease.Heartbeat{VM: "c", Version: 1, Reports: map[string]lease.Report{"g": {Epoch: 1, OKAge: second / 10}}}, 20*second)
+		}, entry, lease.CauseDemoted},
+		{"lost its log, and reads of another VM succeed", func(d *lease.Leader) {
+			report(lease.Report{OKAge: second / 2, LostLog: true})(d)
+			d.ReceiveHeartbeat(lease.Heartbeat{VM: "c", Version: 1, Reports: map[string]lease.Report{"g": {Epoch: 1, OKAge: second / 10}}}, 20*second)
+		}, entry, lease.CauseReborn},
+		{"has started again", report(lease.Report{OKAge: second / 10}), lease.Entry{Target: pollendoor.TargetInfo{ID: "p", Born: 8}}, lease.CauseRestarted},
+		{"entry of the recorded process", report(lease.Report{OKAge: second / 10}), lease.Entry{Target: pollendoor.TargetInfo{ID: "p", Born: 7}}, lease.CauseNone},
+		{"entry of an earlier process", report(lease.Report{OKAge: second / 10}), lease.Entry{Target: pollendoor.TargetInfo{ID: "p", Born: 6}}, lease.CauseNone},
 		{"lost its log", report(lease.Report{OKAge: second / 2, LostLog: true}), entry, lease.CauseReborn},
 		{"draining", report(lease.Report{OKAge: 0}), lease.Entry{Target: pollendoor.TargetInfo{ID: "p", Draining: true}}, lease.CauseDraining},
 		{"its zone is evacuated", report(lease.Report{OKAge: 0}), lease.Entry{Target: pollendoor.TargetInfo{ID: "p"}, Evacuated: true}, lease.CauseEvacuated},
--- a/lease/proof.go
+++ b/lease/proof.go
@@ -29,7 +29,7 @@
 	for _, c := range answers {
 		superseded := c.Status.Term < newest
 		switch {
-		case c.Status.Role == pollendoor.Primary && c.Status.Term >= g.Term && !(superseded && g.Unsure):
+		case c.Status.Role == pollendoor.Primary && c.Status.Term >= g.Term && !(superseded && g.Unsure) && !s.lostLog(g, c, answers):
 			if whole == nil || c.Status.Term > whole.Status.Term {
 				whole = &c
 			}
@@ -45,7 +45,7 @@
 				leading = &c
 			}
 		case s.away(c.Target):
-		case s.lostLog(g, c) && now < s.started+lostTargetTimeout:
+		case s.lostLog(g, c, answers) && now < s.started+lostTargetTimeout:
 			s.primaryLost = s.primaryLost || c.Target.ID == g.Primary
 		default:
 			logs = append(logs, c)
@@ -82,10 +82,21 @@
 	return Candidate{}, false
 }
 
-// lostLog reports whether a target has started again without its log.
-func (s *Succession) lostLog(g Group, c Candidate) bool {
-	// The log of the record's primary may not be in an older term than the record.
-	return c.position().IsZero() && !s.Known.IsZero() || c.Target.ID == g.Primary && c.Status.Term < g.Term
+// lostLog reports whether a target has started again without its log, as far as the answers and
+// the positions that VMs have seen show it.
+func (s *Succession) lostLog(g Group, c Candidate, answers []Candidate) bool {
+	p, term := c.position(), c.Status.Term
+	switch {
+	case c.Target.ID != g.Primary:
+		return p.IsZero() && !s.Known.IsZero() && (c.Status.Role != pollendoor.Primary || term < g.Term)
+	case term != g.Term:
+		return term < g.Term // the log of the record's primary can't be in an older term
+	case s.Known.Term == term && s.Known.Newer(p), g.Start.Newer(p):
+		return true
+	}
+	return p.IsZero() && slices.ContainsFunc(answers, func(a Candidate) bool {
+		return a.Status.Term == term && a.Status.LastTerm == term && !a.position().IsZero()
+	})
 }
 
 // noteListed records which targets the platform's store lists, and which of the record's
@@ -134,9 +145,6 @@
 func (s *Succession) unanswered(g Group, logs []Candidate, now time.Duration) (awaited, lost int) {
 	for h, listedAt := range s.listed {
 		answered := slices.ContainsFunc(logs, func(c Candidate) bool {
-			if c.position().IsZero() && !s.Known.IsZero() {
-				return false
-			}
 			return h.isProcess(c.Target) || c.Target.ID != h.ID && c.Target.Addr == h.Addr && h.Addr != ""
 		})
 		switch {
--- a/lease/record.go
+++ b/lease/record.go
@@ -91,6 +91,9 @@
 	// present holders need not have received are up to it. It is kept only for the same groups
 	// as Holders.
 	Start pollendoor.Position `json:"start,omitzero" cbor:"8,keyasint,omitzero"`
+	// Born is the start of the primary's process in Unix milliseconds, zero if it is not
+	// known. A later process may lack the log, and is not used before it has been checked.
+	Born int64 `json:"born,omitempty" cbor:"10,keyasint,omitempty"`
 	// Unsure is set if the record may have forgotten a later primary, as it is of an older copy
 	// of the store. A group that settles is sure again.
 	Unsure bool `json:"unsure,omitempty" cbor:"9,keyasint,omitempty"`
@@ -220,6 +223,12 @@
 	return g
 }
 
+// Restarted reports whether the entry of the primary is that of a later process than the
+// recorded one. An earlier one is an outdated entry.
+func (g Group) Restarted(t pollendoor.TargetInfo) bool {
+	return t.ID == g.Primary && g.Born != 0 && t.Born > g.Born
+}
+
 // Order returns the state of a moving group to write before the promotion of a
 // target is ordered.
 func (g Group) Order(target string) Group {
--- a/lease/succession_test.go
+++ b/lease/succession_test.go
@@ -19,9 +19,13 @@
 	p := func(id string, term uint64, draining bool) lease.Candidate {
 		return lease.Candidate{
 			Target: pollendoor.TargetInfo{ID: id, Draining: draining},
-			Status: pollendoor.TargetStatus{Role: pollendoor.Primary, Term: pollendoor.Term(term)},
+			Status: pollendoor.TargetStatus{Role: pollendoor.Primary, Term: pollendoor.Term(term), LastTerm: 1, Index: 5},
 		}
 	}
+	empty := func(c lease.Candidate) lease.Candidate {
+		c.Status.LastTerm, c.Status.Index = 0, 0
+		return c
+	}
 	r := func(id string, index uint64) lease.Candidate {
 		return lease.Candidate{
 			Target: pollendoor.TargetInfo{ID: id},
@@ -45,7 +49,9 @@
 		{"promotion ordered, another target has a newer log", moving.Order("b"), []lease.Candidate{r("a", 6), r("b", 5)}, "a", true},
 		{"promotion ordered, its target not reached", moving.Order("a"), []lease.Candidate{p("old", 1, false)}, "", false},
 		{"promotion in effect, old primary still leads its term", moving.Order("a"), []lease.Candidate{p("old", 1, false), p("a", 2, false)}, "a", false},
-		{"primary restarted without its log", lease.Group{Term: 3}.Move(false), []lease.Candidate{p("old", 1, false), r("a", 5)}, "a", true},
+		{"primary restarted without its log", lease.Group{Primary: "old", Term: 3}.Move(false), []lease.Candidate{empty(p("old", 1, false)), r("a", 5)}, "a", true},
+		{"primary restarted without its log in the first term", moving, []lease.Candidate{empty(p("old", 1, false)), r("a", 5)}, "a", true},
+		{"no target has a log yet", moving, []lease.Candidate{empty(p("old", 1, false)), r("a", 0)}, "old", false},
 		{"no target answers", moving, nil, "", false},
 	} {
 		var s lease.Succession
