fleet: a home VM that takes over knows what the primary has reached

The home VM of a primary changes, and the primary has started again without its log before its entry says so: reads are answered without acknowledged commits.

Cause: the next home VM has read no position of the primary in the epoch. The newest one that others have read was not there, as VMs ask the leader only for positions of groups of which they serve stale reads. A refusal by it was not reported as a lost log either.

Change: VMs that use a primary ask for its positions as well, and a refusal by a position that others have read counts as a lost log.

--- a/fleet/cluster.go
+++ b/fleet/cluster.go
@@ -53,6 +53,7 @@
 
 // Primary returns a group's primary and whether it may be used.
 func (v *VM) Primary(group string) (pollendoor.GroupPrimary, pollendoor.PrimaryState) {
+	v.notePositionsUsed(group) // to know what the primary has reached if this VM becomes its home VM
 	l := v.lease.Load()
 	g, ok := l.Record.Groups[group]
 	if !ok {
--- a/fleet/health.go
+++ b/fleet/health.go
@@ -62,7 +62,7 @@
 		}
 	case r.Code == pollendoor.ErrReadOnly:
 		h.demoted = true
-	case r.Code == pollendoor.ErrLagging && h.newestSample.Position.Newer(r.Position):
+	case r.Code == pollendoor.ErrLagging && v.reached(h, t.Group, g).Newer(r.Position):
 		h.lostLog = true
 	default:
 		h.failingSince, h.connRefused = 0, false
@@ -89,11 +89,16 @@
 	h := v.primaryHealth(t.Group)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return v.reached(h, t.Group, g)
+}
+
+// reached is reachedPosition for the primary of a group. The caller holds h.mu.
+func (v *VM) reached(h *primaryHealth, group string, g lease.Group) pollendoor.Position {
 	if h.epoch == g.Epoch && !h.newestSample.Position.IsZero() {
 		return h.newestSample.Position
 	}
 	// Another home VM has read it. Entries of an earlier term may have been rolled back.
-	if s, ok := v.positionRing(t.Group).Newest(); ok && s.Position.Term == g.Term {
+	if s, ok := v.positionRing(group).Newest(); ok && s.Position.Term == g.Term {
 		return s.Position
 	}
 	return pollendoor.Position{}
