lease: name what the answers of targets prove

Succession.sort was named like the sorting of a list and decided in one long condition. It is classify now, with the condition split and its three results explained; the decisions are the same.

--- a/lease/proof.go
+++ b/lease/proof.go
@@ -7,45 +7,39 @@
 	"github.com/pollendoor/pollendoor"
 )
 
-// sort decides what each answer of a target proves. It is the only place that does.
+// classify decides what the answers of targets prove. It is the only place that does.
 //
-// A target counts as one that holds no acknowledged commit beyond those of the next primary
-// only if its log has been compared with that of the next primary. So logs, the targets that
-// may be promoted, are also the only ones that count as having answered. Neither the role
-// nor the term that a target reports matters: one that still leads an older term than the
-// record's has all commits that it acknowledged in that term. A log is left out if it does
-// not count:
-//   - The target is in an evacuated zone and must not be promoted.
-//   - The target has lost its log. It may be promoted if no other target returns in time.
-//   - The target leads the record's term or a later one. Then it is whole, the target with
-//     every acknowledged commit, and leading if it may be used as it is. If another target
-//     knows of a later term, it is not leading, and its log counts. It is not whole either if
-//     the record may have forgotten that term.
-func (s *Succession) sort(g Group, answers []Candidate, now time.Duration) (whole, leading *Candidate, logs []Candidate) {
+// Logs are the targets that may be promoted. Only they count as having answered: that a target
+// holds no acknowledged commit beyond those of the next primary is proved by comparing their
+// logs, and by nothing else. The role and the term that a target reports don't matter. A former
+// primary that still leads an older term has all commits that it acknowledged in that term.
+// Left out are targets in evacuated zones and, for lostTargetTimeout, targets that have lost
+// their log.
+//
+// Whole leads the term of the record, or a later one, and has every acknowledged commit.
+// Leading is whole and may be used as it is: no other target may lead a later term or become
+// the primary by a promotion that was ordered before.
+func (s *Succession) classify(g Group, answers []Candidate, now time.Duration) (whole, leading *Candidate, logs []Candidate) {
 	newest := newestTerm(answers)
 	if g.Unsure {
 		newest = max(newest, s.Known.Term)
 	}
 	for _, c := range answers {
+		lost := s.lostLog(g, c, answers)
+		leads := c.Status.Role == pollendoor.Primary && c.Status.Term >= g.Term && !lost
 		superseded := c.Status.Term < newest
+		// In a term that the record has forgotten, commits may have been acknowledged.
+		if leads && !(superseded && g.Unsure) && (whole == nil || c.Status.Term > whole.Status.Term) {
+			whole = &c
+		}
 		switch {
-		case c.Status.Role == pollendoor.Primary && c.Status.Term >= g.Term && !(superseded && g.Unsure) && !s.lostLog(g, c, answers):
-			if whole == nil || c.Status.Term > whole.Status.Term {
-				whole = &c
-			}
-			if superseded {
-				if !s.away(c.Target) {
-					logs = append(logs, c)
-				}
-				continue
-			}
-			// The promotion of another target that was ordered may take effect later.
-			mayBeSuperseded := g.Ordered != "" && (c.Status.Term == g.Term || g.Ordered != c.Target.ID && !s.OrdersEnded)
-			if !mayBeSuperseded && (leading == nil || c.Status.Term > leading.Status.Term) {
+		case leads && !superseded:
+			ordered := g.Ordered != "" && (c.Status.Term == g.Term || g.Ordered != c.Target.ID && !s.OrdersEnded)
+			if !ordered && (leading == nil || c.Status.Term > leading.Status.Term) {
 				leading = &c
 			}
 		case s.away(c.Target):
-		case s.lostLog(g, c, answers) && now < s.started+lostTargetTimeout:
+		case lost && now < s.started+lostTargetTimeout:
 			s.primaryLost = s.primaryLost || c.Target.ID == g.Primary
 		default:
 			logs = append(logs, c)
--- a/lease/record.go
+++ b/lease/record.go
@@ -91,12 +91,12 @@
 	// present holders need not have received are up to it. It is kept only for the same groups
 	// as Holders.
 	Start pollendoor.Position `json:"start,omitzero" cbor:"8,keyasint,omitzero"`
-	// Born is the start of the primary's process in Unix milliseconds, zero if it is not
-	// known. A later process may lack the log, and is not used before it has been checked.
-	Born int64 `json:"born,omitempty" cbor:"10,keyasint,omitempty"`
 	// Unsure is set if the record may have forgotten a later primary, as it is of an older copy
 	// of the store. A group that settles is sure again.
 	Unsure bool `json:"unsure,omitempty" cbor:"9,keyasint,omitempty"`
+	// Born is the start of the primary's process in Unix milliseconds, zero if it is not
+	// known. A later process may lack the log, and is not used before it has been checked.
+	Born int64 `json:"born,omitempty" cbor:"10,keyasint,omitempty"`
 }
 
 // Record is the state that the fleet agrees on. Every write increments Version.
--- a/lease/succession.go
+++ b/lease/succession.go
@@ -94,7 +94,7 @@
 // those that have answered since the old primary was released.
 func (s *Succession) Next(g Group, syncReplicas int, targets []pollendoor.TargetInfo, answers []Candidate, now time.Duration) Choice {
 	s.noteListed(g, targets, now)
-	whole, leading, logs := s.sort(g, answers, now)
+	whole, leading, logs := s.classify(g, answers, now)
 	var staying []Candidate
 	for _, c := range logs {
 		if !c.Target.Draining {
