lease: the answer of a target without a log proves nothing, also after 15 s

From 15 s on the empty answer counted for the former process, so that a replica behind the acknowledged commits was promoted although the listed primary might return with them.

--- a/lease/proof.go
+++ b/lease/proof.go
@@ -139,6 +139,9 @@
 func (s *Succession) unanswered(g Group, logs []Candidate, now time.Duration) (awaited, lost int) {
 	for h, listedAt := range s.listed {
 		answered := slices.ContainsFunc(logs, func(c Candidate) bool {
+			if c.position().IsZero() && !s.Known.IsZero() {
+				return false // it has started again, and its entry may be that of the process before
+			}
 			return h.isProcess(c.Target) || c.Target.ID != h.ID && c.Target.Addr == h.Addr && h.Addr != ""
 		})
 		switch {
--- a/lease/succession_test.go
+++ b/lease/succession_test.go
@@ -432,6 +432,7 @@
 		{"nor does the old primary", []pollendoor.TargetInfo{b}, []lease.Candidate{answer(b, 5)}, 15 * time.Second, "b", lease.WaitNone},
 		{"one has started again", []pollendoor.TargetInfo{old, reborn, b}, []lease.Candidate{answer(reborn, 2), answer(b, 5)}, 0, "", lease.WaitAnswers},
 		{"one has started again, its entry is not known yet", []pollendoor.TargetInfo{old, a, b}, []lease.Candidate{answer(a, 0), answer(b, 5)}, 0, "", lease.WaitAnswers},
+		{"its entry is not known later either", []pollendoor.TargetInfo{old, a, b}, []lease.Candidate{answer(a, 0), answer(b, 5)}, 16 * time.Second, "", lease.WaitAnswers},
 		{"one was drained, and another has its log", []pollendoor.TargetInfo{old, heir, b}, []lease.Candidate{answer(heir, 9), answer(b, 5)}, 0, "c", lease.WaitNone},
 	} {
 		s := lease.Succession{Known: pollendoor.Position{Term: 1, Index: 9}}
